Unit tests for the deciding parts; more failure scenarios; drain by configuration

Cause: deciding code had no focused tests; two faults were found on writing them: random bytes on a link made msgpack allocate without bound, and the fair queue never forgot idle customers because its floor stood still. Change: limits on what a message may announce; counters start anew when the queue is empty; entries leave out backend servers that operators drain.

--- a/source/connection/message_codec.cpp
+++ b/source/connection/message_codec.cpp
@@ -9,6 +9,10 @@
 
 namespace {
 
+constexpr std::size_t max_fields = 64;
+constexpr std::size_t max_text_bytes = 64U << 20U;
+constexpr std::size_t max_depth = 4;
+
 /// Tags that tell the messages apart.
 enum class message_tag : std::uint8_t
 {
@@ -246,7 +250,10 @@
 
 struct message_reader::state
 {
-    msgpack::unpacker unpacker;
+    msgpack::unpacker unpacker{nullptr, nullptr, MSGPACK_UNPACKER_INIT_BUFFER_SIZE,
+                               msgpack::unpack_limit(max_fields, max_fields,
+                                                     max_text_bytes, max_text_bytes, 0,
+                                                     max_depth)};
 };
 
 message_reader::message_reader() : state_(std::make_unique<state>()) {}
--- a/source/process/backend_directory.cpp
+++ b/source/process/backend_directory.cpp
@@ -44,6 +44,12 @@
                   [](const auto& it) { return !it.second.listed && !it.second.linked; });
 }
 
+void backend_directory::set_drained(const std::set<std::string, std::less<>>& drained)
+{
+    const std::lock_guard lock(mutex_);
+    drained_ = drained;
+}
+
 void backend_directory::set_linked(std::string_view vm, bool up, time_point now)
 {
     const std::lock_guard lock(mutex_);
@@ -159,8 +165,8 @@
                                   time_point /*now*/) const
 {
     return it.linked && it.report && !it.report->draining && it.report->healthy &&
-           !it.server.leaving && it.server.kind == req.kind &&
-           it.server.serves == req.target;
+           !it.server.leaving && !drained_.contains(it.server.vm) &&
+           it.server.kind == req.kind && it.server.serves == req.target;
 }
 
 candidate backend_directory::describe(const server_state& it, const request& req,
--- a/source/process/backend_directory.hpp
+++ b/source/process/backend_directory.hpp
@@ -10,6 +10,7 @@
 #include <map>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -51,6 +52,8 @@
     /// Replaces the platform's list. Servers that are gone from it but still
     /// linked stay, because the list lags behind our own observation.
     void set_list(std::span<const backend_server> list);
+    /// Replaces the set of VMs that operators drain.
+    void set_drained(const std::set<std::string, std::less<>>& drained);
     /// Says that the link to `vm` is up or down.
     void set_linked(std::string_view vm, bool up, time_point now);
     /// Records a report of the agent on `vm`.
@@ -95,6 +98,7 @@
     std::string zone_;
     mutable std::mutex mutex_;
     std::map<std::string, server_state, std::less<>> servers_;
+    std::set<std::string, std::less<>> drained_;
 };
 
 } // namespace pistachiopost
--- a/source/process/engine_monitor.hpp
+++ b/source/process/engine_monitor.hpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
--- a/source/process/fair_queue.cpp
+++ b/source/process/fair_queue.cpp
@@ -29,6 +29,11 @@
 
 void fair_queue::push(const queue_ticket& ticket, time_point /*now*/)
 {
+    if (queued_ == 0)
+    {
+        customers_.clear();
+        floor_ = 0;
+    }
     forget_settled_customers();
     auto [it, is_new] = customers_.try_emplace(ticket.customer);
     auto& customer = it->second;
--- a/source/process/fair_queue.hpp
+++ b/source/process/fair_queue.hpp
@@ -4,7 +4,8 @@
 /// Each customer has a counter of served work divided by its weight. The waiting
 /// customer with the lowest counter is served next. A customer that was idle
 /// starts at the lowest counter of those waiting, so that idle time earns no
-/// credit and lent shares return at once. Each customer has one queue for each
+/// credit and lent shares return at once; when nobody waits, all counters start
+/// anew. Each customer has one queue for each
 /// length class, so that its long prompts never delay its short ones.
 #pragma once
 
--- a/source/process/json_reader.cpp
+++ b/source/process/json_reader.cpp
@@ -64,7 +64,8 @@
     }
 }
 
-std::string json_reader::text(std::string_view name, const std::optional<std::string>& fallback)
+std::string json_reader::text(std::string_view name,
+                              const std::optional<std::string>& fallback)
 {
     const auto* it = find(name, !fallback);
     if (it == nullptr)
--- a/source/process/json_reader.hpp
+++ b/source/process/json_reader.hpp
@@ -35,7 +35,8 @@
                 std::vector<settings_fault>& faults);
 
     /// Returns a text; a missing one is a fault unless `fallback` is given.
-    std::string text(std::string_view name, const std::optional<std::string>& fallback = {});
+    std::string text(std::string_view name,
+                     const std::optional<std::string>& fallback = {});
     /// Returns a whole number within `range`.
     std::uint64_t integer(std::string_view name, number_range range,
                           std::optional<std::uint64_t> fallback = {});
--- a/source/process/platform_watch.hpp
+++ b/source/process/platform_watch.hpp
@@ -64,6 +64,7 @@
         {
             if (follow_configuration(source, state.configurations))
             {
+                state.directory.set_drained(state.configurations.current()->drained());
                 log(log_level::info, "configuration in force",
                     {.version = state.configurations.version()});
             }
--- a/source/process/work_queue.hpp
+++ b/source/process/work_queue.hpp
@@ -2,6 +2,7 @@
 /// The queue in front of one backend server, shared by the tasks of an agent.
 #pragma once
 
+#include "process/dispatch_window.hpp"
 #include "process/load_report.hpp"
 #include "process/queue_ticket.hpp"
 #include "request/attempt_job.hpp"
--- a/source/request/serve_attempts.hpp
+++ b/source/request/serve_attempts.hpp
@@ -187,7 +187,8 @@
             make_order(req, ++result.attempts, progress.next_offset(), caller.now());
         order.isolated = chosen.isolated;
         const auto events = std::make_shared<mailbox>();
-        const auto attempt = router.start(chosen, std::move(order), req.body, events);
+        [[maybe_unused]] const auto attempt =
+            router.start(chosen, std::move(order), req.body, events);
         auto ended = relay_attempt(req, *events, progress, caller);
         result.delivered = progress.next_offset();
         if (auto* end = std::get_if<answer_end>(&ended))
--- a/source/version/configuration.hpp
+++ b/source/version/configuration.hpp
@@ -57,6 +57,11 @@
     {
         return drained_.contains(vm);
     }
+    /// Returns the VMs whose backend servers operators drain.
+    [[nodiscard]] const std::set<std::string, std::less<>>& drained() const
+    {
+        return drained_;
+    }
     /// Returns the number of customers.
     [[nodiscard]] std::size_t customer_count() const { return customers_.size(); }
 
--- /dev/null
+++ b/tests/process/entry_decisions_test.cpp
@@ -0,0 +1,255 @@
+#include "process/backend_choice.hpp"
+#include "process/backend_directory.hpp"
+#include "process/crash_board.hpp"
+#include "process/retry_budget.hpp"
+#include "process/subset.hpp"
+
+#include <criterion/criterion.h>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+using namespace pistachiopost;
+
+namespace {
+
+const time_point start{std::chrono::hours{1}};
+
+std::vector<backend_server> make_servers(int n)
+{
+    std::vector<backend_server> list;
+    for (int i = 0; i < n; ++i)
+    {
+        backend_server it;
+        it.vm = fmt::format("vm-{}", i);
+        it.zone = i % 3 == 0 ? "tamarin" : i % 3 == 1 ? "flicq" : "reduit";
+        it.serves = "lens-model";
+        list.push_back(it);
+    }
+    return list;
+}
+
+request make_request(std::uint64_t tokens)
+{
+    return request_builder("r")
+        .completion("lens-model", "/v1/completions", nullptr, tokens, "", 1)
+        .deadline(start + seconds{10})
+        .build();
+}
+
+struct directory_fixture
+{
+    directory_fixture()
+    {
+        directory.set_list(servers);
+        for (const auto& it : servers)
+        {
+            directory.set_linked(it.vm, true, start);
+            directory.set_report(it.vm, report, start);
+        }
+    }
+
+    [[nodiscard]] std::vector<candidate> candidates(time_point now = start) const
+    {
+        return directory.candidates(make_request(1'000), {}, now);
+    }
+
+    load_report report{.boot = "b",
+                       .draining = false,
+                       .healthy = true,
+                       .running = 0,
+                       .queued = 0,
+                       .memory_used = 0,
+                       .memory_total = 450'000,
+                       .backlog = {},
+                       .prefill_rate = 100'000};
+    std::vector<backend_server> servers = make_servers(3);
+    backend_directory directory{"tamarin"};
+};
+
+} // namespace
+
+Test(backend_directory, draining_server_is_no_candidate)
+{
+    directory_fixture it;
+    it.report.draining = true;
+    it.directory.set_report("vm-1", it.report, start);
+    cr_assert_eq(it.candidates().size(), 2U);
+}
+
+Test(backend_directory, server_that_the_list_calls_leaving_is_no_candidate)
+{
+    directory_fixture it;
+    it.servers[0].leaving = true;
+    it.directory.set_list(it.servers);
+    cr_assert_eq(it.candidates().size(), 2U);
+}
+
+Test(backend_directory, linked_server_missing_from_the_lagging_list_stays)
+{
+    directory_fixture it;
+    it.servers.pop_back();
+    it.directory.set_list(it.servers);
+    cr_assert_eq(it.candidates().size(), 3U);
+}
+
+Test(backend_directory, failing_server_is_avoided_then_tried_again)
+{
+    directory_fixture it;
+    it.directory.count_failure("vm-0", start);
+    cr_assert_eq(it.candidates(start).size(), 2U);
+    cr_assert_eq(it.candidates(start + milliseconds{150}).size(), 3U);
+    it.directory.count_failure("vm-0", start);
+    cr_assert_eq(it.candidates(start + milliseconds{150}).size(), 2U);
+}
+
+Test(backend_directory, work_sent_since_the_report_counts_as_wait)
+{
+    directory_fixture it;
+    it.directory.count_sent("vm-0", 50'000);
+    const auto list = it.candidates();
+    cr_assert_eq(list[0].expected_wait.count(), 500);
+    it.directory.set_report("vm-0", it.report, start);
+    cr_assert_eq(it.candidates()[0].expected_wait.count(), 0);
+}
+
+Test(backend_directory, new_link_ramps_up)
+{
+    directory_fixture it;
+    cr_assert_lt(it.candidates(start)[0].ramp, 0.2);
+    cr_assert_eq(it.candidates(start + seconds{6})[0].ramp, 1.0);
+}
+
+Test(two_choices, shorter_wait_wins_within_the_zone)
+{
+    const std::vector<candidate> list{{"busy", true, milliseconds{900}, 9, 1},
+                                      {"idle", true, milliseconds{0}, 0, 1}};
+    two_choices policy;
+    int idle = 0;
+    for (std::uint64_t i = 0; i < 1'000; ++i)
+    {
+        idle += policy.choose(list, "", i * 7'919).vm == "idle" ? 1 : 0;
+    }
+    cr_assert_gt(idle, 650);
+}
+
+Test(two_choices, far_zone_is_used_only_when_the_own_zone_is_busy)
+{
+    std::vector<candidate> list{{"near", true, milliseconds{0}, 0, 1},
+                                {"far", false, milliseconds{0}, 0, 1}};
+    two_choices policy;
+    cr_assert_eq(policy.choose(list, "", 1).vm, "near");
+    list[0].expected_wait = milliseconds{100};
+    cr_assert_eq(policy.choose(list, "", 1).vm, "far");
+}
+
+Test(two_choices, cached_prefix_wins_unless_its_server_is_overloaded)
+{
+    std::vector<candidate> list{{"cached", true, milliseconds{30}, 3, 1},
+                                {"idle", true, milliseconds{0}, 0, 1}};
+    two_choices policy;
+    for (std::uint64_t i = 0; i < 100; ++i)
+    {
+        cr_assert_eq(policy.choose(list, "cached", i).vm, "cached");
+    }
+    list[0].expected_wait = milliseconds{5'000};
+    int cached = 0;
+    for (std::uint64_t i = 0; i < 100; ++i)
+    {
+        cached += policy.choose(list, "cached", i * 7'919).vm == "cached" ? 1 : 0;
+    }
+    cr_assert_lt(cached, 50);
+}
+
+Test(choose_subset, result_is_bounded_and_prefers_the_own_zone)
+{
+    const auto servers = make_servers(600);
+    const auto subset = choose_subset(servers, "entry-1", "tamarin", 24);
+    cr_assert_eq(subset.size(), 24U);
+    const auto near = std::count_if(subset.begin(), subset.end(),
+                                    [](const auto& it) { return it.zone == "tamarin"; });
+    cr_assert_eq(near, 18);
+}
+
+Test(choose_subset, small_fleet_is_linked_whole)
+{
+    const auto servers = make_servers(16);
+    cr_assert_eq(choose_subset(servers, "entry-1", "tamarin", 24).size(), 16U);
+}
+
+Test(choose_subset, one_lost_server_changes_one_link)
+{
+    auto servers = make_servers(600);
+    const auto before = choose_subset(servers, "entry-1", "tamarin", 24);
+    const auto lost = before.front().vm;
+    std::erase_if(servers, [&](const auto& it) { return it.vm == lost; });
+    std::set<std::string> after;
+    for (const auto& it : choose_subset(servers, "entry-1", "tamarin", 24))
+    {
+        after.insert(it.vm);
+    }
+    const auto kept = std::count_if(before.begin(), before.end(), [&](const auto& it) {
+        return after.contains(it.vm);
+    });
+    cr_assert_eq(kept, 23);
+}
+
+Test(choose_subset, every_server_is_linked_by_some_entry_and_none_by_far_too_many)
+{
+    const auto servers = make_servers(600);
+    std::map<std::string, int> links;
+    constexpr const char* zones[] = {"tamarin", "flicq", "reduit"};
+    for (int i = 0; i < 320; ++i)
+    {
+        for (const auto& it :
+             choose_subset(servers, fmt::format("entry-{}", i), zones[i % 3], 24))
+        {
+            ++links[it.vm];
+        }
+    }
+    cr_assert_eq(links.size(), 600U);
+    const auto most = std::max_element(
+        links.begin(), links.end(), [](auto& a, auto& b) { return a.second < b.second; });
+    cr_assert_leq(most->second, 3 * 320 * 24 / 600);
+}
+
+Test(crash_board, suspect_that_crashes_alone_is_convicted_and_an_innocent_is_cleared)
+{
+    crash_board board;
+    cr_assert(board.add({1, false}, start));
+    cr_assert(board.add({2, false}, start));
+    cr_assert_not(board.add({1, false}, start));
+    cr_assert_eq(board.judge(1, start), crash_verdict::suspect);
+    cr_assert(board.add({1, true}, start));
+    board.clear(2);
+    board.clear(1);
+    cr_assert_eq(board.judge(1, start), crash_verdict::convicted);
+    cr_assert_eq(board.judge(2, start), crash_verdict::innocent);
+}
+
+Test(crash_board, suspicion_ends_sooner_than_conviction)
+{
+    crash_board board;
+    board.add({1, false}, start);
+    board.add({2, true}, start);
+    const auto later = start + std::chrono::hours{1};
+    cr_assert_eq(board.judge(1, later), crash_verdict::innocent);
+    cr_assert_eq(board.judge(2, later), crash_verdict::convicted);
+}
+
+Test(retry_budget, outage_cannot_multiply_load)
+{
+    retry_budget budget(0.1, 2, 64, start);
+    int retries = 0;
+    for (int i = 0; i < 10'000; ++i)
+    {
+        const auto now = start + milliseconds{i};
+        budget.earn(now);
+        retries += budget.try_spend(now) ? 1 : 0;
+    }
+    cr_assert_leq(retries, 1'000 + 64 + 20 + 1);
+    cr_assert_geq(retries, 1'000);
+}
--- /dev/null
+++ b/tests/process/settings_test.cpp
@@ -0,0 +1,70 @@
+#include "process/settings_document.hpp"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+
+using namespace pistachiopost;
+
+namespace {
+
+constexpr std::string_view good_entry = R"({
+  "role": "entry", "vm": "entry-1", "zone": "tamarin", "region": "mu-west",
+  "listen": {"address": "127.0.0.1", "port": 8080},
+  "table_service": {"address": "127.0.0.1", "port": 8081},
+  "vm_list": {"address": "127.0.0.1", "port": 8082}
+})";
+
+/// Returns the faults of a document, which must be refused.
+std::vector<settings_fault> faults_of(std::string_view text)
+{
+    try
+    {
+        parse_settings(text);
+    }
+    catch (const settings_error& it)
+    {
+        return {it.faults().begin(), it.faults().end()};
+    }
+    cr_assert_fail("the settings were taken");
+}
+
+bool has(const std::vector<settings_fault>& faults, std::string_view path,
+         std::string_view problem)
+{
+    return std::any_of(faults.begin(), faults.end(), [&](const settings_fault& it) {
+        return it.path == path && it.problem.find(problem) != std::string::npos;
+    });
+}
+
+} // namespace
+
+Test(settings, whole_document_is_taken_with_defaults)
+{
+    const auto it = std::get<entry_settings>(parse_settings(good_entry));
+    cr_assert_eq(it.listen.port, 8080);
+    cr_assert_eq(it.subset_size, 24U);
+}
+
+Test(settings, all_faults_are_listed_in_one_run)
+{
+    const auto faults = faults_of(R"({
+      "role": "entry", "vm": "", "zone": 3, "region": "mu-west",
+      "listen": {"address": "localhost", "port": 70000},
+      "table_service": {"address": "127.0.0.1", "port": 8081, "prot": 1},
+      "limits": {"max_connections": 1.5}, "polcy": {}
+    })");
+    cr_assert(has(faults, "/vm", "not empty"));
+    cr_assert(has(faults, "/zone", "must be a text"));
+    cr_assert(has(faults, "/listen/address", "IPv4"));
+    cr_assert(has(faults, "/listen/port", "from 1 to 65535"));
+    cr_assert(has(faults, "/table_service/prot", "did you mean port"));
+    cr_assert(has(faults, "/vm_list", "is missing"));
+    cr_assert(has(faults, "/limits/max_connections", "whole number"));
+    cr_assert(has(faults, "/polcy", "did you mean policy"));
+}
+
+Test(settings, text_that_is_not_json_is_refused)
+{
+    cr_assert(has(faults_of("{"), "/", "not JSON"));
+}
--- /dev/null
+++ b/tests/request/serve_attempts_test.cpp
@@ -0,0 +1,148 @@
+#include "request_fixture.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace pistachiopost;
+using namespace pistachiopost::testing;
+
+namespace {
+
+struct serve_attempts_fixture
+{
+    serve_result serve(const request& req = make_prompt_request())
+    {
+        return serve_attempts(req, router, caller, budget, retry_limits{});
+    }
+
+    scripted_router router;
+    recording_caller caller;
+    counted_budget budget;
+};
+
+} // namespace
+
+Test(serve_attempts, whole_answer_is_delivered_once)
+{
+    serve_attempts_fixture it;
+    it.router.script = {whole_answer()};
+    const auto result = it.serve();
+    cr_assert(result.end.has_value());
+    cr_assert_eq(it.caller.text, "abc");
+    cr_assert_eq(result.attempts, 1U);
+}
+
+Test(serve_attempts, death_after_two_pieces_resumes_elsewhere_from_the_third)
+{
+    serve_attempts_fixture it;
+    auto cut = whole_answer();
+    cut.resize(3);
+    cut.push_back(failure(refusal_reason::backend_crashed, run_state::ran));
+    it.router.script = {cut, whole_answer(2)};
+    const auto result = it.serve();
+    cr_assert(result.end.has_value());
+    cr_assert_eq(it.caller.text, "abc");
+    cr_assert_eq(it.router.orders[1].resume_offset, 2U);
+    cr_assert_neq(it.router.used[0], it.router.used[1]);
+}
+
+Test(serve_attempts, repeated_pieces_are_dropped)
+{
+    serve_attempts_fixture it;
+    auto cut = whole_answer();
+    cut.resize(3);
+    cut.push_back(failure(refusal_reason::link_lost, run_state::unknown));
+    it.router.script = {cut, whole_answer(0)};
+    const auto result = it.serve();
+    cr_assert(result.end.has_value());
+    cr_assert_eq(it.caller.text, "abc");
+}
+
+Test(serve_attempts, missing_piece_is_never_handed_over_as_whole)
+{
+    serve_attempts_fixture it;
+    it.budget.left = 0;
+    auto events = whole_answer();
+    events.erase(events.begin() + 2);
+    it.router.script = {events};
+    const auto result = it.serve();
+    cr_assert_not(result.end.has_value());
+    cr_assert_eq(it.caller.text, "a");
+}
+
+Test(serve_attempts, end_before_the_total_is_a_failure)
+{
+    serve_attempts_fixture it;
+    it.budget.left = 0;
+    auto events = whole_answer();
+    events.erase(events.begin() + 3);
+    it.router.script = {events};
+    cr_assert_not(it.serve().end.has_value());
+}
+
+Test(serve_attempts, call_that_may_not_repeat_is_never_retried_after_it_may_have_run)
+{
+    serve_attempts_fixture it;
+    it.router.script = {{failure(refusal_reason::link_lost, run_state::unknown)}};
+    const auto result = it.serve(make_notice_request("k"));
+    cr_assert_not(result.end.has_value());
+    cr_assert_eq(result.attempts, 1U);
+    cr_assert_eq(result.why.state, run_state::unknown);
+}
+
+Test(serve_attempts, call_that_may_not_repeat_is_retried_when_surely_not_run)
+{
+    serve_attempts_fixture it;
+    it.router.script = {{failure(refusal_reason::draining, run_state::not_run)},
+                        whole_answer()};
+    const auto result = it.serve(make_notice_request("k"));
+    cr_assert(result.end.has_value());
+    cr_assert_eq(result.attempts, 2U);
+}
+
+Test(serve_attempts, spent_budget_stops_retries)
+{
+    serve_attempts_fixture it;
+    it.budget.left = 0;
+    it.router.script = {{failure(refusal_reason::backend_failed, run_state::ran)}};
+    const auto result = it.serve();
+    cr_assert_eq(result.attempts, 1U);
+    cr_assert_eq(result.why.reason, refusal_reason::backend_failed);
+}
+
+Test(serve_attempts, silence_until_the_deadline_is_refused_as_deadline_passed)
+{
+    serve_attempts_fixture it;
+    it.router.script = {{attempt_started{}}};
+    const auto result = it.serve();
+    cr_assert_eq(result.why.reason, refusal_reason::deadline_passed);
+    cr_assert_eq(result.why.state, run_state::ran);
+    cr_assert_eq(result.attempts, 1U);
+}
+
+Test(serve_attempts, earlier_run_is_remembered_when_the_last_attempt_did_not_run)
+{
+    serve_attempts_fixture it;
+    it.router.vms = {"a", "b"};
+    it.router.script = {{failure(refusal_reason::backend_failed, run_state::ran)},
+                        {failure(refusal_reason::queue_full, run_state::not_run)}};
+    cr_assert_eq(it.serve().why.state, run_state::ran);
+}
+
+Test(serve_attempts, caller_that_left_ends_the_request)
+{
+    serve_attempts_fixture it;
+    it.caller.gone = true;
+    it.router.script = {whole_answer()};
+    const auto result = it.serve();
+    cr_assert_eq(result.why.reason, refusal_reason::caller_gone);
+    cr_assert_eq(result.attempts, 1U);
+}
+
+Test(serve_attempts, no_backend_at_all_is_refused_as_not_run)
+{
+    serve_attempts_fixture it;
+    it.router.vms.clear();
+    const auto result = it.serve();
+    cr_assert_eq(result.why.reason, refusal_reason::no_backend);
+    cr_assert_eq(result.why.state, run_state::not_run);
+}
--- a/tests/standins/caller.cpp
+++ b/tests/standins/caller.cpp
@@ -77,7 +77,7 @@
         {
             take_event(*data);
         }
-        return true;
+        return call_.leave_after == 0 || ++pieces_ < call_.leave_after;
     }
 
     void finish(outcome& result)
@@ -162,6 +162,7 @@
     std::vector<double> gaps_;
     double first_ms_ = 0;
     double last_ms_ = 0;
+    std::uint32_t pieces_ = 0;
     bool done_ = false;
 };
 
--- a/tests/standins/caller.hpp
+++ b/tests/standins/caller.hpp
@@ -29,6 +29,7 @@
     bool chat = false;
     std::uint32_t deadline_ms = 30'000;
     std::string idempotency_key;
+    std::uint32_t leave_after = 0; ///< Pieces after which the caller leaves; 0: never.
 };
 
 /// What came of a call.
--- a/tests/standins/scenario.cpp
+++ b/tests/standins/scenario.cpp
@@ -5,6 +5,9 @@
 
 #include <fmt/format.h>
 
+#include <sys/socket.h>
+
+#include <array>
 #include <chrono>
 #include <csignal>
 #include <functional>
@@ -82,6 +85,7 @@
     const std::map<std::string, std::function<void(const json&)>> verbs{
         {"wait_ready", [this](const json&) { wait_ready(); }},
         {"send", [this](const json& it) { send(it); }},
+        {"raw", [this](const json& it) { send_raw(it); }},
         {"expect", [this](const json& it) { expect(it); }},
         {"load", [this](const json& it) { start_load(it); }},
         {"finish_load", [this](const json& it) { finish_load(it); }},
@@ -125,6 +129,7 @@
     single.chat = it.value("chat", false);
     single.deadline_ms = it.value("deadline_ms", 30'000U);
     single.idempotency_key = it.value("idempotency_key", "");
+    single.leave_after = it.value("leave_after", 0U);
     if (it.contains("service"))
     {
         single.service_path = it["service"].get<std::string>();
@@ -159,6 +164,32 @@
     require(!it.contains("answer") || it["answer"] == got.detail, "got " + describe(got));
 }
 
+/// Sends bytes as they are, closes the sending side if asked, and compares the
+/// start of the answer.
+void scenario::send_raw(const json& it)
+{
+    const auto sock = connect_tcp(fleet_.where(it.value("entry", "entry-1")), 2'000);
+    auto bytes = it.at("bytes").get<std::string>();
+    bytes.append(it.value("padding", 0U), 'x');
+    const auto sent = ::send(sock.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    require(sent == static_cast<ssize_t>(bytes.size()),
+            "the entry did not take the bytes");
+    if (it.value("close", false))
+    {
+        ::shutdown(sock.get(), SHUT_WR);
+    }
+    const auto wanted = it.at("answer_has").get<std::string>();
+    std::string got;
+    wait_for(
+        [&] {
+            std::array<char, 4'096> buf{};
+            const auto n = ::recv(sock.get(), buf.data(), buf.size(), MSG_DONTWAIT);
+            got.append(buf.data(), n > 0 ? static_cast<std::size_t>(n) : 0);
+            return got.find(wanted) != std::string::npos;
+        },
+        "the answer has " + wanted);
+}
+
 void scenario::start_load(const json& it)
 {
     load wanted;
--- a/tests/standins/scenario.hpp
+++ b/tests/standins/scenario.hpp
@@ -39,6 +39,7 @@
     void expect(const nlohmann::json& it);
     void start_load(const nlohmann::json& it);
     void finish_load(const nlohmann::json& it);
+    void send_raw(const nlohmann::json& it);
     void until(const nlohmann::json& it);
     void wait_ready();
     void wait_released();
--- /dev/null
+++ b/tests/version/configuration_test.cpp
@@ -0,0 +1,74 @@
+#include "process/platform_watch.hpp"
+#include "version/configuration_document.hpp"
+#include "version/configuration_holder.hpp"
+#include "version/version_error.hpp"
+
+#include <criterion/criterion.h>
+
+#include <fmt/format.h>
+
+using namespace pistachiopost;
+
+namespace {
+
+std::string document(std::uint64_t version)
+{
+    return fmt::format(R"({{"version": {}, "customers": {{"optique": {{"weight": 2,
+        "keys": {{"{}": {{}}}}}}}}, "models": {{"lens-model": {{}}}}}})",
+                       version, key_digest("secret"));
+}
+
+/// A table service whose head can be set, also backwards.
+struct versions_source
+{
+    std::uint64_t head_version() const { return head; }
+    std::string configuration(std::uint64_t version) const { return document(version); }
+    std::uint64_t head = 0;
+};
+
+} // namespace
+
+Test(configuration, key_finds_its_customer)
+{
+    const auto it = parse_configuration(document(1));
+    const auto* found = it->customer_by_key(key_digest("secret"));
+    cr_assert_not_null(found);
+    cr_assert_eq(found->name, "optique");
+    cr_assert_eq(found->weight, 2U);
+    cr_assert_null(it->customer_by_key(key_digest("other")));
+}
+
+Test(configuration, fault_is_refused_with_its_path)
+{
+    cr_assert_throw(parse_configuration(R"({"version": 1, "models": {"m": {"max": 1}}})"),
+                    version_error);
+}
+
+Test(configuration, customer_with_a_taken_key_is_refused)
+{
+    configuration_builder builder(1);
+    builder.add_customer({"a", 1}).add_customer({"b", 1}).add_key("digest", "a");
+    cr_assert_throw(builder.add_key("digest", "b"), version_error);
+}
+
+Test(follow_configuration, older_head_never_takes_a_version_back)
+{
+    configuration_holder holder;
+    versions_source source;
+    source.head = 5;
+    cr_assert(follow_configuration(source, holder));
+    source.head = 4;
+    cr_assert_not(follow_configuration(source, holder));
+    cr_assert_eq(holder.version(), 5U);
+}
+
+Test(configuration_holder, request_keeps_its_version_while_a_newer_comes_into_force)
+{
+    configuration_holder holder;
+    holder.advance(parse_configuration(document(1)));
+    const auto mine = holder.current();
+    holder.advance(parse_configuration(document(2)));
+    cr_assert_eq(mine->version(), 1U);
+    cr_assert_eq(holder.version(), 2U);
+    cr_assert_not(holder.advance(mine));
+}
