--- a/source/connection/entry_link.hpp
+++ b/source/connection/entry_link.hpp
@@ -200,7 +200,7 @@
     void send_report(time_point now)
     {
         next_report_ = now + report_interval;
-        auto report = state_.report();
+        auto report = state_.report(now);
         const bool due = now >= last_sent_ + heartbeat_interval;
         if (report_streams_.empty() || (report == last_report_ && !due))
         {
--- a/source/process/agent_state.hpp
+++ b/source/process/agent_state.hpp
@@ -64,13 +64,13 @@
     }
 
     /// Returns the report that entries are sent.
-    load_report report()
+    load_report report(time_point now)
     {
         load_report it;
         it.boot = boot_;
         it.draining = draining_;
         it.healthy = healthy_;
-        queue.visit([&it](const auto& discipline) { fill(it, discipline); });
+        queue.visit([&it, now](const auto& discipline) { fill(it, discipline, now); });
         return it;
     }
 
@@ -118,7 +118,7 @@
     crash_board crashes;
 
 private:
-    static void fill(load_report& it, const Discipline& discipline)
+    static void fill(load_report& it, const Discipline& discipline, time_point now)
     {
         const auto& window = discipline.window();
         it.running = window.running();
@@ -129,7 +129,7 @@
         for (std::size_t which = 0; which < length_class_count; ++which)
         {
             const auto ahead =
-                discipline.ahead_of_newcomer(static_cast<length_class>(which));
+                discipline.ahead_of_newcomer(static_cast<length_class>(which), now);
             it.backlog[which] = ahead.prefill_tokens;
         }
     }
--- /dev/null
+++ b/source/process/arrival_meter.hpp
@@ -0,0 +1,59 @@
+/// \file
+/// Measures how much work of each length class arrives.
+#pragma once
+
+#include "request/length_class.hpp"
+#include "request/time_types.hpp"
+
+#include <array>
+#include <cmath>
+#include <cstdint>
+
+namespace pistachiopost {
+
+/// Exponentially decaying rate of arriving prompt tokens, by class.
+class arrival_meter
+{
+public:
+    /// Counts an arrival of `tokens` prompt tokens.
+    void add(length_class which, std::uint64_t tokens, time_point now)
+    {
+        decay(now);
+        amounts_[static_cast<std::size_t>(which)] += static_cast<double>(tokens);
+    }
+
+    /// Returns the rate of all classes shorter than `which`, in tokens a second.
+    [[nodiscard]] double rate_below(length_class which, time_point now) const
+    {
+        double amount = 0;
+        for (std::size_t i = 0; i < static_cast<std::size_t>(which); ++i)
+        {
+            amount += amounts_[i];
+        }
+        return amount * factor(now) / window_seconds;
+    }
+
+private:
+    static constexpr double window_seconds = 2;
+
+    [[nodiscard]] double factor(time_point now) const
+    {
+        const std::chrono::duration<double> passed = now - updated_;
+        return std::exp(-passed.count() / window_seconds);
+    }
+
+    void decay(time_point now)
+    {
+        const auto left = factor(now);
+        for (auto& amount : amounts_)
+        {
+            amount *= left;
+        }
+        updated_ = now;
+    }
+
+    std::array<double, length_class_count> amounts_{};
+    time_point updated_;
+};
+
+} // namespace pistachiopost
--- a/source/process/backend_choice.cpp
+++ b/source/process/backend_choice.cpp
@@ -7,12 +7,11 @@
 
 namespace {
 
-constexpr milliseconds other_zone_penalty{5}; // expected gain that justifies a far server
-constexpr milliseconds affinity_slack{40};    // extra wait that a cache hit is worth
+constexpr milliseconds affinity_slack{40}; // extra wait that a cache hit is worth
 
 milliseconds penalized_wait(const candidate& it)
 {
-    return it.expected_wait + (it.same_zone ? milliseconds{0} : other_zone_penalty);
+    return it.expected_wait + it.aversion;
 }
 
 /// Yields small numbers from one random 64-bit number.
@@ -63,22 +62,22 @@
 {
     draw numbers(random);
     auto kept = without_starting(list, numbers);
-    const auto far = std::stable_partition(kept.begin(), kept.end(),
-                                           [](const auto* it) { return it->same_zone; });
-    const std::span near(kept.begin(), far);
-    const std::span remote(far, kept.end());
+    const auto least = (*std::min_element(kept.begin(), kept.end(), [](auto* a, auto* b) {
+                           return a->aversion < b->aversion;
+                       }))->aversion;
+    const auto rest =
+        std::stable_partition(kept.begin(), kept.end(),
+                              [least](const auto* it) { return it->aversion == least; });
+    const std::span preferred(kept.begin(), rest);
+    const std::span others(rest, kept.end());
     std::vector<const candidate*> sampled;
-    for (const auto& group : {near, near, remote})
+    for (const auto& group : {preferred, preferred, others, others})
     {
         if (!group.empty())
         {
             sampled.push_back(group[numbers.below(group.size())]);
         }
     }
-    if (near.empty())
-    {
-        sampled.push_back(remote[numbers.below(remote.size())]);
-    }
     const auto* best = *std::min_element(
         sampled.begin(), sampled.end(), [](const auto* a, const auto* b) {
             return penalized_wait(*a) < penalized_wait(*b);
--- a/source/process/backend_choice.hpp
+++ b/source/process/backend_choice.hpp
@@ -24,9 +24,10 @@
         } -> std::same_as<const candidate&>;
 };
 
-/// Compares two random servers of the own zone and one of another, and takes the
-/// one with the lowest expected wait. The affine server wins if its wait is not
-/// much longer.
+/// Compares two random servers of those it is least averse to (own availability
+/// zone, meant for the prompt's length) and two of the others, and takes the one
+/// with the lowest expected wait plus aversion. The affine server wins if its sum is
+/// not much higher.
 class two_choices
 {
 public:
--- a/source/process/backend_directory.cpp
+++ b/source/process/backend_directory.cpp
@@ -1,5 +1,7 @@
 #include "process/backend_directory.hpp"
 
+#include <xxhash.h>
+
 #include <algorithm>
 
 namespace pistachiopost {
@@ -10,6 +12,9 @@
 constexpr double ramp_start = 0.1;         // share of load right after a start
 constexpr milliseconds first_penalty{100}; // avoidance after one failure
 constexpr seconds longest_penalty{10};
+constexpr milliseconds other_zone_aversion{5};
+constexpr milliseconds short_elsewhere_aversion{30};
+constexpr milliseconds long_on_kept_aversion{400};
 constexpr double assumed_rate = 100'000; // tokens a second before the first report
 
 double ramp_of(time_point linked_since, time_point now)
@@ -42,6 +47,7 @@
     }
     std::erase_if(servers_,
                   [](const auto& it) { return !it.second.listed && !it.second.linked; });
+    keep_some_for_short();
 }
 
 void backend_directory::set_drained(const std::set<std::string, std::less<>>& drained)
@@ -169,6 +175,25 @@
            it.server.kind == req.kind && it.server.serves == req.target;
 }
 
+milliseconds backend_directory::aversion_to(const server_state& it,
+                                            const request& req) const
+{
+    auto aversion = it.server.zone == zone_ ? milliseconds{0} : other_zone_aversion;
+    if (short_share_ > 0 && req.kind == work_kind::completion)
+    {
+        const bool is_short = classify(req.prompt_tokens) == length_class::brief;
+        if (is_short && !it.kept_for_short)
+        {
+            aversion += short_elsewhere_aversion;
+        }
+        if (!is_short && it.kept_for_short)
+        {
+            aversion += long_on_kept_aversion;
+        }
+    }
+    return aversion;
+}
+
 candidate backend_directory::describe(const server_state& it, const request& req,
                                       time_point now) const
 {
@@ -177,10 +202,39 @@
         it.report->prefill_rate > 0 ? it.report->prefill_rate : assumed_rate;
     const auto ahead = it.report->backlog[which] + it.sent_tokens;
     const auto wait = 1'000.0 * static_cast<double>(ahead) / rate;
-    return {it.server.vm, it.server.zone == zone_,
+    return {it.server.vm,
+            it.server.zone == zone_,
             milliseconds{static_cast<milliseconds::rep>(wait)},
             it.report->running + it.report->queued + it.sent_attempts,
-            ramp_of(it.linked_since, now)};
+            ramp_of(it.linked_since, now),
+            aversion_to(it, req)};
+}
+
+/// Marks the servers kept for short prompts: those whose names hash highest, so
+/// that all entries mark the same ones.
+void backend_directory::keep_some_for_short()
+{
+    std::map<std::string_view, std::vector<std::pair<std::uint64_t, server_state*>>>
+        targets;
+    for (auto& [vm, state] : servers_)
+    {
+        state.kept_for_short = false;
+        if (state.server.kind == work_kind::completion)
+        {
+            targets[state.server.serves].emplace_back(XXH3_64bits(vm.data(), vm.size()),
+                                                      &state);
+        }
+    }
+    for (auto& [target, ranked] : targets)
+    {
+        std::sort(ranked.rbegin(), ranked.rend());
+        const auto n =
+            static_cast<std::size_t>(short_share_ * static_cast<double>(ranked.size()));
+        for (std::size_t i = 0; i < n; ++i)
+        {
+            ranked[i].second->kept_for_short = true;
+        }
+    }
 }
 
 backend_directory::server_state* backend_directory::find(std::string_view vm)
--- a/source/process/backend_directory.hpp
+++ b/source/process/backend_directory.hpp
@@ -40,14 +40,19 @@
     milliseconds expected_wait{0}; ///< Until the first token, by the last report.
     std::uint32_t in_flight = 0;   ///< Running and queued there.
     double ramp = 1;               ///< Share of normal load, below 1 after a start.
+    milliseconds aversion{0};      ///< Wait elsewhere that would still be better.
 };
 
 /// Thread-safe record of backend servers. Links report into it; choices read it.
 class backend_directory
 {
 public:
-    /// `zone` is the entry's own.
-    explicit backend_directory(std::string_view zone) : zone_(zone) {}
+    /// `zone` is the entry's own. `short_share` of the servers of each target are
+    /// kept for short prompts; others use them only when that saves much time.
+    backend_directory(std::string_view zone, double short_share)
+        : zone_(zone), short_share_(short_share)
+    {
+    }
 
     /// Replaces the platform's list. Servers that are gone from it but still
     /// linked stay, because the list lags behind our own observation.
@@ -80,6 +85,7 @@
     {
         backend_server server;
         bool listed = true;
+        bool kept_for_short = false;
         bool linked = false;
         time_point linked_since;
         std::optional<load_report> report;
@@ -91,11 +97,15 @@
 
     [[nodiscard]] bool may_serve(const server_state& it, const request& req,
                                  time_point now) const;
+    [[nodiscard]] milliseconds aversion_to(const server_state& it,
+                                           const request& req) const;
     [[nodiscard]] candidate describe(const server_state& it, const request& req,
                                      time_point now) const;
     server_state* find(std::string_view vm);
+    void keep_some_for_short();
 
     std::string zone_;
+    double short_share_;
     mutable std::mutex mutex_;
     std::map<std::string, server_state, std::less<>> servers_;
     std::set<std::string, std::less<>> drained_;
--- a/source/process/dispatch_window.cpp
+++ b/source/process/dispatch_window.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-constexpr double smoothing = 0.1;                   // weight of a new sample
-constexpr std::uint64_t rate_sample_tokens = 8'000; // smallest prompt that shows the rate
+constexpr double smoothing = 0.1;                     // weight of a new sample
+constexpr std::uint64_t rate_sample_tokens = 100'000; // prompt tokens
 
 std::size_t index(length_class which)
 {
@@ -55,9 +55,27 @@
     return ticket.memory() <= limits_.memory_tokens;
 }
 
+time_point dispatch_window::latest_start(const queue_ticket& ticket) const
+{
+    return ticket.deadline - prefill_time(ticket.prompt_tokens) - generation_time(ticket);
+}
+
+milliseconds dispatch_window::prefill_time(std::uint64_t tokens) const
+{
+    const auto rate = std::max(prefill_rate_, 1.0);
+    return milliseconds{
+        static_cast<milliseconds::rep>(1'000.0 * static_cast<double>(tokens) / rate)};
+}
+
+milliseconds dispatch_window::generation_time(const queue_ticket& ticket) const
+{
+    return limits_.token_interval * static_cast<milliseconds::rep>(ticket.output_tokens);
+}
+
 void dispatch_window::start(const queue_ticket& ticket, time_point now)
 {
     const auto which = index(ticket.size_class());
+    note_prefill_started(now);
     attempts_.emplace(ticket.id, running_attempt{ticket, now});
     prefill_[which] += ticket.prompt_tokens;
     ++running_[which];
@@ -78,14 +96,34 @@
     }
     const auto& ticket = it->second.ticket;
     it->second.prefilling = false;
+    sampled_tokens_ += ticket.prompt_tokens;
+    note_prefill_ended(ticket, now);
+}
+
+void dispatch_window::note_prefill_started(time_point now)
+{
+    if (unfinished_prefill(length_class::huge) == 0)
+    {
+        busy_since_ = now;
+    }
+}
+
+/// Takes the attempt out of the unfinished prefill. The rate is learned over the
+/// time in which some prefill was unfinished, whatever its order in the engine.
+void dispatch_window::note_prefill_ended(const queue_ticket& ticket, time_point now)
+{
     prefill_[index(ticket.size_class())] -= ticket.prompt_tokens;
-    const std::chrono::duration<double> spent = now - it->second.started;
-    const bool alone = std::accumulate(prefill_.begin(), prefill_.end(), 0ULL) == 0;
-    if (alone && ticket.prompt_tokens >= rate_sample_tokens && spent.count() > 0)
+    busy_time_ += now - busy_since_;
+    busy_since_ = now;
+    if (sampled_tokens_ < rate_sample_tokens || busy_time_ <= steady::duration{0})
     {
-        const auto rate = static_cast<double>(ticket.prompt_tokens) / spent.count();
-        prefill_rate_ += smoothing * (rate - prefill_rate_);
+        return;
     }
+    const std::chrono::duration<double> spent = busy_time_;
+    const auto rate = static_cast<double>(sampled_tokens_) / spent.count();
+    prefill_rate_ += smoothing * (rate - prefill_rate_);
+    sampled_tokens_ = 0;
+    busy_time_ = steady::duration{0};
 }
 
 void dispatch_window::ended(ticket_id id, time_point now)
@@ -99,7 +137,7 @@
     const auto which = index(ticket.size_class());
     if (it->second.prefilling)
     {
-        prefill_[which] -= ticket.prompt_tokens;
+        note_prefill_ended(ticket, now);
     }
     --running_[which];
     memory_used_ -= ticket.memory();
--- a/source/process/dispatch_window.hpp
+++ b/source/process/dispatch_window.hpp
@@ -20,7 +20,7 @@
     std::array<std::uint64_t, length_class_count> prefill_tokens{16'000, 32'000, 100'000,
                                                                  100'000};
     /// Attempts running at once, by class.
-    std::array<std::uint32_t, length_class_count> running{32, 16, 4, 2};
+    std::array<std::uint32_t, length_class_count> running{32, 24, 8, 3};
     /// Share of the memory that prompts over 32,000 tokens may hold.
     double long_memory_share = 0.85;
     double prefill_rate = 250'000;   ///< Assumed until measured, tokens a second.
@@ -39,6 +39,13 @@
     [[nodiscard]] bool can_ever_fit(const queue_ticket& ticket) const;
     /// Counts an attempt as running since `now`.
     void start(const queue_ticket& ticket, time_point now);
+    /// Returns the last moment at which the attempt can start and still end before
+    /// its deadline.
+    [[nodiscard]] time_point latest_start(const queue_ticket& ticket) const;
+    /// Returns the time the engine needs to prefill `tokens` with nothing beside.
+    [[nodiscard]] milliseconds prefill_time(std::uint64_t tokens) const;
+    /// Returns the time the engine needs to generate the attempt's answer.
+    [[nodiscard]] milliseconds generation_time(const queue_ticket& ticket) const;
     /// Counts the attempt's prefill as finished; learns the prefill rate.
     void first_token(ticket_id id, time_point now);
     /// Removes a running attempt.
@@ -69,6 +76,9 @@
     };
 
     dispatch_limits limits_;
+    void note_prefill_started(time_point now);
+    void note_prefill_ended(const queue_ticket& ticket, time_point now);
+
     std::unordered_map<ticket_id, running_attempt> attempts_;
     std::array<std::uint64_t, length_class_count> prefill_{};
     std::array<std::uint32_t, length_class_count> running_{};
@@ -77,6 +87,9 @@
     bool isolated_running_ = false;
     double prefill_rate_;
     double mean_service_ms_ = 0;
+    time_point busy_since_;            ///< Since when some prefill is unfinished.
+    steady::duration busy_time_{0};    ///< In the sample under way.
+    std::uint64_t sampled_tokens_ = 0; ///< Prefilled in the sample under way.
 };
 
 } // namespace pistachiopost
--- a/source/process/entry_state.hpp
+++ b/source/process/entry_state.hpp
@@ -19,7 +19,7 @@
 struct entry_state
 {
     entry_state(const entry_settings& from, time_point now)
-        : settings(from), ids(from.self.vm), directory(from.self.zone),
+        : settings(from), ids(from.self.vm), directory(from.self.zone, from.short_share),
           budget(from.retry_share, free_retries_per_second, saved_retries, now)
     {
     }
--- a/source/process/fair_queue.cpp
+++ b/source/process/fair_queue.cpp
@@ -24,11 +24,12 @@
     {
         return why;
     }
-    return refuse_if_late(window_, ahead_of(ticket), ticket, now);
+    return refuse_if_late(window_, ahead_of(ticket, now), ticket, now);
 }
 
-void fair_queue::push(const queue_ticket& ticket, time_point /*now*/)
+void fair_queue::push(const queue_ticket& ticket, time_point now)
 {
+    arrivals_.add(ticket.size_class(), ticket.prompt_tokens, now);
     if (queued_ == 0)
     {
         customers_.clear();
@@ -105,7 +106,7 @@
         {
             for (const auto& ticket : queue)
             {
-                if (ticket.deadline <= now)
+                if (window_.latest_start(ticket) <= now)
                 {
                     late.push_back(ticket.id);
                 }
@@ -119,7 +120,7 @@
     return late;
 }
 
-std::optional<time_point> fair_queue::earliest_deadline() const
+std::optional<time_point> fair_queue::next_expiry() const
 {
     std::optional<time_point> earliest;
     for (const auto& [name, customer] : customers_)
@@ -128,26 +129,27 @@
         {
             for (const auto& ticket : queue)
             {
-                earliest = std::min(earliest.value_or(ticket.deadline), ticket.deadline);
+                const auto expiry = window_.latest_start(ticket);
+                earliest = std::min(earliest.value_or(expiry), expiry);
             }
         }
     }
     return earliest;
 }
 
-work_ahead fair_queue::ahead_of_newcomer(length_class which) const
+work_ahead fair_queue::ahead_of_newcomer(length_class which, time_point now) const
 {
     queue_ticket newcomer;
     newcomer.prompt_tokens = which == length_class::brief    ? 1'000
                              : which == length_class::medium ? 4'000
                              : which == length_class::large  ? 32'000
                                                              : 100'000;
-    return ahead_of(newcomer);
+    return ahead_of(newcomer, now);
 }
 
 /// A newcomer is served after running prefill, its customer's own queue, and at
 /// most as much of each other customer's queue as its own customer will have had.
-work_ahead fair_queue::ahead_of(const queue_ticket& ticket) const
+work_ahead fair_queue::ahead_of(const queue_ticket& ticket, time_point now) const
 {
     const auto which = index(ticket.size_class());
     std::uint64_t own = ticket.prompt_tokens;
@@ -155,7 +157,9 @@
     {
         own += it->second.queued_tokens[which];
     }
-    work_ahead ahead{window_.unfinished_prefill(ticket.size_class()), 0};
+    work_ahead ahead{window_.unfinished_prefill(ticket.size_class()), 0,
+                     arrivals_.rate_below(ticket.size_class(), now) /
+                         window_.prefill_rate()};
     ahead.prefill_tokens += own - ticket.prompt_tokens;
     for (const auto& [name, customer] : customers_)
     {
--- a/source/process/fair_queue.hpp
+++ b/source/process/fair_queue.hpp
@@ -9,6 +9,7 @@
 /// length class, so that its long prompts never delay its short ones.
 #pragma once
 
+#include "process/arrival_meter.hpp"
 #include "process/dispatch_window.hpp"
 #include "process/finish_estimate.hpp"
 #include "process/queue_ticket.hpp"
@@ -40,13 +41,13 @@
     void ended(ticket_id id, time_point now) { window_.ended(id, now); }
     /// Removes a waiting attempt; false if it was not waiting.
     bool erase(ticket_id id);
-    /// Removes and returns waiting attempts whose deadline has passed.
+    /// Removes and returns waiting attempts that can no longer end in time.
     std::vector<ticket_id> expired(time_point now);
-    /// Returns the earliest deadline of a waiting attempt.
-    [[nodiscard]] std::optional<time_point> earliest_deadline() const;
+    /// Returns when the next waiting attempt expires.
+    [[nodiscard]] std::optional<time_point> next_expiry() const;
 
     /// Returns the work a new customer's attempt of class `which` waits for.
-    [[nodiscard]] work_ahead ahead_of_newcomer(length_class which) const;
+    [[nodiscard]] work_ahead ahead_of_newcomer(length_class which, time_point now) const;
     /// Returns the number of waiting attempts.
     [[nodiscard]] std::size_t queued() const { return queued_; }
     /// Returns the number of customers that the queue remembers.
@@ -66,13 +67,14 @@
     };
     using customer_map = std::map<std::string, customer_state, std::less<>>;
 
-    [[nodiscard]] work_ahead ahead_of(const queue_ticket& ticket) const;
+    [[nodiscard]] work_ahead ahead_of(const queue_ticket& ticket, time_point now) const;
     [[nodiscard]] double lowest_counter() const;
     customer_map::iterator next_customer(std::size_t which);
     void remove_front(customer_map::iterator customer, std::size_t which);
     void forget_settled_customers();
 
     dispatch_window window_;
+    arrival_meter arrivals_;
     customer_map customers_;
     std::unordered_map<ticket_id, std::string>
         owners_;       ///< Customer of each waiting attempt.
--- a/source/process/fifo_queue.cpp
+++ b/source/process/fifo_queue.cpp
@@ -64,7 +64,7 @@
     return late;
 }
 
-std::optional<time_point> fifo_queue::earliest_deadline() const
+std::optional<time_point> fifo_queue::next_expiry() const
 {
     std::optional<time_point> earliest;
     for (const auto& ticket : queue_)
@@ -74,10 +74,10 @@
     return earliest;
 }
 
-work_ahead fifo_queue::ahead_of_newcomer(length_class /*which*/) const
+work_ahead fifo_queue::ahead_of_newcomer(length_class /*which*/, time_point /*now*/) const
 {
     work_ahead ahead{window_.unfinished_prefill(length_class::huge),
-                     static_cast<std::uint32_t>(queue_.size())};
+                     static_cast<std::uint32_t>(queue_.size()), 0};
     for (const auto& ticket : queue_)
     {
         ahead.prefill_tokens += ticket.prompt_tokens;
--- a/source/process/fifo_queue.hpp
+++ b/source/process/fifo_queue.hpp
@@ -31,11 +31,11 @@
     bool erase(ticket_id id);
     /// Removes and returns waiting attempts whose deadline has passed.
     std::vector<ticket_id> expired(time_point now);
-    /// Returns the earliest deadline of a waiting attempt.
-    [[nodiscard]] std::optional<time_point> earliest_deadline() const;
+    /// Returns when the next waiting attempt expires.
+    [[nodiscard]] std::optional<time_point> next_expiry() const;
 
     /// Returns the work ahead of a new attempt, whatever its class.
-    [[nodiscard]] work_ahead ahead_of_newcomer(length_class which) const;
+    [[nodiscard]] work_ahead ahead_of_newcomer(length_class which, time_point now) const;
     /// Returns the number of waiting attempts.
     [[nodiscard]] std::size_t queued() const { return queue_.size(); }
     /// Returns the account of what runs.
--- a/source/process/finish_estimate.cpp
+++ b/source/process/finish_estimate.cpp
@@ -8,12 +8,8 @@
 
 namespace {
 
-milliseconds prefill_time(const dispatch_window& window, std::uint64_t tokens)
-{
-    const auto rate = std::max(window.prefill_rate(), 1.0);
-    return milliseconds{
-        static_cast<milliseconds::rep>(1'000.0 * static_cast<double>(tokens) / rate)};
-}
+constexpr double least_share_left = 0.1; // of the engine, for classes behind shorter ones
+constexpr milliseconds margin{50};
 
 milliseconds slot_wait(const dispatch_window& window, std::uint32_t attempts_ahead)
 {
@@ -30,31 +26,32 @@
 milliseconds expected_first_token(const dispatch_window& window, const work_ahead& ahead,
                                   std::uint64_t prompt_tokens)
 {
-    const auto prefill = prefill_time(window, ahead.prefill_tokens);
-    const auto wait = std::max(prefill, slot_wait(window, ahead.attempts));
-    return wait + prefill_time(window, prompt_tokens);
+    const auto prefill = window.prefill_time(ahead.prefill_tokens + prompt_tokens);
+    const auto left_for_it = std::max(1 - ahead.busy_share, least_share_left);
+    const auto slowed = milliseconds{static_cast<milliseconds::rep>(
+        static_cast<double>(prefill.count()) / left_for_it)};
+    return std::max(slowed, slot_wait(window, ahead.attempts));
 }
 
 std::optional<refusal> refuse_if_late(const dispatch_window& window,
                                       const work_ahead& ahead, const queue_ticket& ticket,
                                       time_point now)
 {
-    const auto first = expected_first_token(window, ahead, ticket.prompt_tokens);
-    const auto generation = window.limits().token_interval *
-                            static_cast<milliseconds::rep>(ticket.output_tokens);
-    if (now + first + generation <= ticket.deadline)
+    const auto generation = window.generation_time(ticket);
+    const auto needed =
+        expected_first_token(window, ahead, ticket.prompt_tokens) + generation + margin;
+    const auto left = ceil_milliseconds(ticket.deadline - now);
+    if (needed <= left)
     {
         return std::nullopt;
     }
-    const auto alone = prefill_time(window, ticket.prompt_tokens) + generation;
-    const auto left = ceil_milliseconds(ticket.deadline - now);
+    const auto alone = window.prefill_time(ticket.prompt_tokens) + generation + margin;
     return refusal{
         refusal_reason::deadline_too_short, run_state::not_run,
-        fmt::format(
-            "needs about {} ms here, {} ms are left; allow more time or retry later",
-            (first + generation).count(), left.count()),
-        alone <= left ? std::max(first + generation - left, milliseconds{100})
-                      : milliseconds{0}};
+        fmt::format("needs about {} ms here, {} ms are left; allow more time or "
+                    "retry later",
+                    needed.count(), left.count()),
+        alone <= left ? std::max(needed - left, milliseconds{100}) : milliseconds{0}};
 }
 
 std::optional<refusal> refuse_if_oversized(const dispatch_window& window,
--- a/source/process/finish_estimate.hpp
+++ b/source/process/finish_estimate.hpp
@@ -14,6 +14,8 @@
 {
     std::uint64_t prefill_tokens = 0;
     std::uint32_t attempts = 0;
+    /// Share of the engine's time that shorter prompts, which pass, will take.
+    double busy_share = 0;
 };
 
 /// Returns the expected wait for the first token behind `ahead`.
--- a/source/process/queue_ticket.hpp
+++ b/source/process/queue_ticket.hpp
@@ -62,7 +62,7 @@
         it.expired(now)
         } -> std::same_as<std::vector<ticket_id>>;
     {
-        fixed.earliest_deadline()
+        fixed.next_expiry()
         } -> std::same_as<std::optional<time_point>>;
 };
 
--- a/source/process/settings.hpp
+++ b/source/process/settings.hpp
@@ -53,6 +53,7 @@
     milliseconds poll_interval{1'000};
     choice_policy choice = choice_policy::two_choices;
     std::uint32_t subset_size = 24; ///< Backend servers linked, for each target.
+    double short_share = 0.125;     ///< Backend servers kept for short prompts.
     double retry_share = 0.1;
     retry_limits retries;
 };
--- a/source/process/settings_document.cpp
+++ b/source/process/settings_document.cpp
@@ -82,6 +82,7 @@
     it.choice = static_cast<choice_policy>(in.one_of("choice", choice_names, 0));
     it.subset_size =
         static_cast<std::uint32_t>(in.integer("subset_size", {1, 1'000}, it.subset_size));
+    it.short_share = in.number("short_share", {0, 0.5}, it.short_share);
     it.retry_share = in.number("retry_share", share_range, it.retry_share);
     it.retries.max_attempts = static_cast<std::uint32_t>(
         in.integer("max_attempts", {1, 10}, it.retries.max_attempts));
--- a/source/process/work_queue.hpp
+++ b/source/process/work_queue.hpp
@@ -45,8 +45,8 @@
         return std::nullopt;
     }
 
-    /// Waits for the next job that may run; null after stop(). Jobs whose
-    /// deadline passes while they wait are refused here.
+    /// Waits for the next job that may run; null after stop(). Jobs that
+    /// can no longer end in time are refused here.
     template <typename Clock>
     std::shared_ptr<attempt_job> take(Clock&& clock)
     {
@@ -149,8 +149,8 @@
         {
             const auto node = jobs_.extract(id);
             node.mapped()->send(attempt_failed{
-                {refusal_reason::deadline_passed, run_state::not_run,
-                 "the deadline passed while the request waited in the queue"}});
+                {refusal_reason::deadline_too_short, run_state::not_run,
+                 "the request waited until it could no longer end in time"}});
         }
         if (jobs_.empty())
         {
@@ -160,7 +160,7 @@
 
     void wait_for_change(std::unique_lock<std::mutex>& lock)
     {
-        if (const auto until = discipline_.earliest_deadline())
+        if (const auto until = discipline_.next_expiry())
         {
             ready_.wait_until(lock, *until);
         }
--- a/tests/process/entry_decisions_test.cpp
+++ b/tests/process/entry_decisions_test.cpp
@@ -67,7 +67,7 @@
                        .backlog = {},
                        .prefill_rate = 100'000};
     std::vector<backend_server> servers = make_servers(3);
-    backend_directory directory{"tamarin"};
+    backend_directory directory{"tamarin", 0.34};
 };
 
 } // namespace
@@ -116,6 +116,19 @@
     cr_assert_eq(it.candidates()[0].expected_wait.count(), 0);
 }
 
+Test(backend_directory, one_server_in_three_is_kept_for_short_prompts)
+{
+    const directory_fixture it;
+    const auto count_liked = [&](std::uint64_t tokens) {
+        const auto list = it.directory.candidates(make_request(tokens), {}, start);
+        return std::count_if(list.begin(), list.end(), [](const candidate& one) {
+            return one.aversion < milliseconds{30};
+        });
+    };
+    cr_assert_eq(count_liked(1'000), 1);
+    cr_assert_eq(count_liked(200'000), 2);
+}
+
 Test(backend_directory, new_link_ramps_up)
 {
     directory_fixture it;
@@ -138,8 +151,8 @@
 
 Test(two_choices, far_zone_is_used_only_when_the_own_zone_is_busy)
 {
-    std::vector<candidate> list{{"near", true, milliseconds{0}, 0, 1},
-                                {"far", false, milliseconds{0}, 0, 1}};
+    std::vector<candidate> list{{"near", true, milliseconds{0}, 0, 1, milliseconds{0}},
+                                {"far", false, milliseconds{0}, 0, 1, milliseconds{5}}};
     two_choices policy;
     cr_assert_eq(policy.choose(list, "", 1).vm, "near");
     list[0].expected_wait = milliseconds{100};
--- a/tests/standins/caller.cpp
+++ b/tests/standins/caller.cpp
@@ -85,6 +85,10 @@
         result.total_ms = milliseconds_since(start_);
         result.first_token_ms = first_ms_ > 0 ? first_ms_ : result.total_ms;
         result.gaps_ms = std::move(gaps_);
+        if (result.status == 0)
+        {
+            return;
+        }
         if (result.status != 200)
         {
             read_error(result, parse(text_.empty() ? raw_ : text_));
@@ -252,6 +256,14 @@
     }
 }
 
+/// Returns the time a request takes at an engine stand-in that is idle.
+double time_alone_ms(const planned_request& it)
+{
+    constexpr double step_ms = 3.1;
+    constexpr double tokens_per_ms = 400;
+    return step_ms + static_cast<double>(it.tokens) / tokens_per_ms + step_ms * it.output;
+}
+
 /// Collects outcomes from all callers.
 class load_recorder
 {
@@ -272,6 +284,10 @@
         }
         const auto work = work_cost(request.tokens, request.output);
         result_.offered_work[request.customer] += work;
+        if (got.kind() == "answered" && classify(request.tokens) == length_class::brief)
+        {
+            result_.short_slowdown.push_back(got.total_ms / time_alone_ms(request));
+        }
         if (got.kind() == "answered")
         {
             result_.answered_work[request.customer] += work;
@@ -339,6 +355,17 @@
     return text;
 }
 
+double mean_work(const load& it)
+{
+    const auto requests = plan(it);
+    double sum = 0;
+    for (const auto& request : requests)
+    {
+        sum += static_cast<double>(work_cost(request.tokens, request.output));
+    }
+    return sum / static_cast<double>(std::max<std::size_t>(requests.size(), 1));
+}
+
 load_result run_load(const load& it)
 {
     const auto requests = plan(it);
@@ -415,6 +442,8 @@
         document["classes"][std::string(to_string(static_cast<length_class>(i)))] =
             class_json(it.classes[i]);
     }
+    document["short_slowdown"] = {{"median", quantile(it.short_slowdown, 0.5)},
+                                  {"p95", quantile(it.short_slowdown, 0.95)}};
     document["crest"] = class_json(it.crest);
     document["gap_ms"] = {{"median", quantile(it.gaps_ms, 0.5)},
                           {"p95", quantile(it.gaps_ms, 0.95)}};
--- a/tests/standins/caller.hpp
+++ b/tests/standins/caller.hpp
@@ -92,9 +92,13 @@
     std::map<std::string, std::uint64_t> refusals; ///< By type and execution.
     std::vector<std::uint64_t> answered_work;      ///< Tokens of work, for each customer.
     std::vector<std::uint64_t> offered_work;
-    class_result crest; ///< Requests sent in the crest.
+    class_result crest;                 ///< Requests sent in the crest.
+    std::vector<double> short_slowdown; ///< Of prompts under 4k: time over time alone.
 };
 
+/// Returns the mean work of a planned request, in tokens.
+double mean_work(const load& it);
+
 /// Runs a load to its end.
 load_result run_load(const load& it);
 
--- a/tests/standins/main.cpp
+++ b/tests/standins/main.cpp
@@ -3,6 +3,7 @@
 /// runner of scenarios.
 #include "process/logging.hpp"
 #include "process/task.hpp"
+#include "standins/bench.hpp"
 #include "standins/engine.hpp"
 #include "standins/platform.hpp"
 #include "standins/scenario.hpp"
@@ -24,6 +25,9 @@
 DEFINE_string(work, "", "folder for settings and logs");
 DEFINE_bool(keep, false, "leave the fleet up after the steps, until interrupted");
 DEFINE_uint64(seed, 1, "seed of generated prompts and loads");
+DEFINE_double(seconds, 20, "length of each phase of the bench");
+DEFINE_bool(faults, true, "run the crest of the bench once more with faults");
+DEFINE_string(only, "", "choice policy of the one policy to measure");
 DEFINE_string(result, "", "file for the result of the last load, in JSON");
 
 namespace pistachiopost::standins {
@@ -124,8 +128,21 @@
         return run_scenario(argv[2],
                             std::filesystem::read_symlink("/proc/self/exe").string());
     }
+    if (command == "bench")
+    {
+        bench_options options;
+        options.product = FLAGS_product;
+        options.standins = std::filesystem::read_symlink("/proc/self/exe");
+        options.work = FLAGS_work;
+        options.result_file = FLAGS_result;
+        options.only = FLAGS_only;
+        options.seed = FLAGS_seed;
+        options.seconds = FLAGS_seconds;
+        options.faults = FLAGS_faults;
+        return run_bench(options);
+    }
     fmt::print(stderr,
-               "usage: standins engine|table|vms|service|scenario FILE [FLAGS]\n");
+               "usage: standins bench|engine|table|vms|service|scenario FILE [FLAGS]\n");
     return 2;
 }
 
@@ -137,7 +154,7 @@
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     std::signal(SIGPIPE, SIG_IGN);
     const std::string command = argc > 1 ? argv[1] : "";
-    if (command == "scenario")
+    if (command == "scenario" || command == "bench")
     {
         pistachiopost::block_stop_signals();
     }
