Groups of backend servers for prompts over one engine's memory

Change: the entry picks the least busy servers whose memory holds the prompt, reserves parts in one order of names, which rules out mutual waiting, and runs the prompt at the last; reservations live as long as their stream on the link, so a dead entry, agent or caller releases them. A huge prompt that has waited 300 ms has memory kept free for it. The caller stand-in now goes to another entry when its own is gone, as the platform's balancer would send it.

--- a/source/connection/caller_request.cpp
+++ b/source/connection/caller_request.cpp
@@ -16,6 +16,7 @@
 
 constexpr std::string_view bearer = "Bearer ";
 constexpr std::size_t max_key_bytes = 256;
+constexpr milliseconds answer_margin{50}; // for the answer to reach the caller in time
 
 [[noreturn]] void refuse(refusal_reason reason, std::string detail)
 {
@@ -159,7 +160,7 @@
     const auto text = http_.get_header_value("X-Deadline-Ms");
     if (text.empty())
     {
-        return now_ + state_.settings.default_deadline;
+        return now_ + state_.settings.default_deadline - answer_margin;
     }
     milliseconds::rep count = 0;
     const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), count);
@@ -170,7 +171,7 @@
         refuse(refusal_reason::bad_request,
                fmt::format("X-Deadline-Ms must be a whole number from 1 to {}", most));
     }
-    return now_ + milliseconds{count};
+    return now_ + milliseconds{count} - std::min(answer_margin, milliseconds{count / 20});
 }
 
 bool caller_request_reader::marked_not_repeatable() const
--- a/source/connection/engine_backend.cpp
+++ b/source/connection/engine_backend.cpp
@@ -152,6 +152,10 @@
                         {"X-Owner", owner},
                         {"X-Priority", std::to_string(priority(job))},
                         {"X-Resume-Offset", std::to_string(order.resume_offset)}};
+        if (!order.members.empty())
+        {
+            http.set_header("X-Group", order.members);
+        }
         provide_body(http, job.body());
         return http;
     }
@@ -163,6 +167,30 @@
         return static_cast<int>(length_class_count) - 1 - which;
     }
 
+    /// Holds memory until the job is cancelled or its deadline passes.
+    attempt_result hold_memory(attempt_job& job)
+    {
+        const auto& order = job.order();
+        try
+        {
+            if (!probe.reserve(order.attempt_id, owner, order.reserved_tokens))
+            {
+                return failed(refusal_reason::queue_full, run_state::not_run,
+                              "the engine has no memory for the reservation");
+            }
+        }
+        catch (const connection_error& it)
+        {
+            return failed(refusal_reason::backend_failed, run_state::not_run, it.what());
+        }
+        job.send(
+            attempt_started{fmt::format("{}/{}", to_string(where), order.attempt_id)});
+        job.wait_cancelled();
+        release(job);
+        return failed(refusal_reason::deadline_passed, run_state::not_run,
+                      "the reservation ended");
+    }
+
     /// Judges a stream that broke without a fault of its own.
     refusal explain_break(const attempt_job& job, const stream_follower& follower,
                           httplib::Error error, time_point now)
@@ -250,6 +278,12 @@
 attempt_result engine_backend::run(attempt_job& job, const first_token_callback& on_first)
 {
     auto& it = *state_;
+    if (job.order().kind == work_kind::reservation)
+    {
+        on_first();
+        return it.hold_memory(job);
+    }
+    job.send(attempt_started{});
     if (it.boot.empty())
     {
         it.learn_boot();
@@ -295,6 +329,7 @@
                                     const first_token_callback& on_first)
 {
     const auto& order = job.order();
+    job.send(attempt_started{});
     // A fresh connection: on a reused one a failure could not be told from a call
     // that ran.
     httplib::Client client(where_.address, where_.port);
--- a/source/connection/engine_client.cpp
+++ b/source/connection/engine_client.cpp
@@ -47,6 +47,13 @@
     }
 }
 
+bool engine_client::reserve(std::string_view id, std::string_view owner,
+                            std::uint64_t tokens)
+{
+    const json order{{"id", id}, {"owner", owner}, {"tokens", tokens}};
+    return http_.post("/v1/reservations", order.dump()).status == status_ok;
+}
+
 void engine_client::cancel(std::string_view stream)
 {
     http_.remove(fmt::format("/v1/streams/{}", encode_component(stream)));
--- a/source/connection/engine_client.hpp
+++ b/source/connection/engine_client.hpp
@@ -11,7 +11,7 @@
 
 namespace pistachiopost {
 
-/// A stream that holds memory at an engine.
+/// A stream or a reservation that holds memory at an engine.
 struct engine_stream
 {
     std::string id;    ///< Attempt identifier.
@@ -35,7 +35,10 @@
     engine_client(const endpoint& where, milliseconds timeout);
     /// Returns the engine's state. Throws connection_error.
     engine_state state();
-    /// Ends a stream and frees its memory. Throws connection_error.
+    /// Holds memory for a prompt that runs at another engine; returns whether there
+    /// was room. Throws connection_error.
+    bool reserve(std::string_view id, std::string_view owner, std::uint64_t tokens);
+    /// Ends a stream or a reservation and frees its memory. Throws connection_error.
     void cancel(std::string_view stream);
 
 private:
--- a/source/connection/message_codec.cpp
+++ b/source/connection/message_codec.cpp
@@ -34,9 +34,9 @@
     (out.pack(fields), ...);
 }
 
-void pack_message(packer& out, const attempt_started& /*event*/)
+void pack_message(packer& out, const attempt_started& it)
 {
-    pack(out, message_tag::started);
+    pack(out, message_tag::started, it.place);
 }
 
 void pack_message(packer& out, const answer_chunk& it)
@@ -130,7 +130,7 @@
     switch (static_cast<message_tag>(in.next<std::uint8_t>()))
     {
     case message_tag::started:
-        return attempt_event{attempt_started{}};
+        return attempt_event{attempt_started{in.next<std::string>()}};
     case message_tag::chunk: {
         answer_chunk it;
         it.offset = in.next<std::uint64_t>();
@@ -182,6 +182,33 @@
     return value;
 }
 
+std::string name_of(work_kind kind)
+{
+    switch (kind)
+    {
+    case work_kind::completion:
+        return "completion";
+    case work_kind::service:
+        return "service";
+    case work_kind::reservation:
+        break;
+    }
+    return "reservation";
+}
+
+work_kind kind_of(std::string_view name)
+{
+    for (const auto kind :
+         {work_kind::completion, work_kind::service, work_kind::reservation})
+    {
+        if (name == name_of(kind))
+        {
+            return kind;
+        }
+    }
+    throw codec_error(fmt::format("order has the unknown kind {}", name));
+}
+
 } // namespace
 
 std::vector<header_field> encode_path(std::string_view path)
@@ -201,7 +228,7 @@
     add("attempt", order.attempt_id);
     add("customer", order.customer);
     add("weight", std::to_string(order.weight));
-    add("kind", order.kind == work_kind::completion ? "completion" : "service");
+    add("kind", name_of(order.kind));
     add("target", order.target);
     add("method", order.method);
     add("target-path", order.path);
@@ -212,6 +239,8 @@
     add("fingerprint", std::to_string(order.fingerprint));
     add("remaining-ms", std::to_string(order.remaining.count()));
     add("repeatable", order.repeatable ? "1" : "0");
+    add("reserved-tokens", std::to_string(order.reserved_tokens));
+    add("members", order.members);
     add("isolated", order.isolated ? "1" : "0");
     add("configuration", std::to_string(order.configuration_version));
     return headers;
@@ -223,8 +252,7 @@
     it.attempt_id = field(headers, "attempt");
     it.customer = field(headers, "customer");
     it.weight = number<std::uint32_t>(headers, "weight");
-    it.kind = field(headers, "kind") == "completion" ? work_kind::completion
-                                                     : work_kind::service;
+    it.kind = kind_of(field(headers, "kind"));
     it.target = field(headers, "target");
     it.method = field(headers, "method");
     it.path = field(headers, "target-path");
@@ -235,6 +263,8 @@
     it.fingerprint = number<std::uint64_t>(headers, "fingerprint");
     it.remaining = milliseconds{number<milliseconds::rep>(headers, "remaining-ms")};
     it.repeatable = field(headers, "repeatable") == "1";
+    it.reserved_tokens = number<std::uint64_t>(headers, "reserved-tokens");
+    it.members = field(headers, "members");
     it.isolated = field(headers, "isolated") == "1";
     it.configuration_version = number<std::uint64_t>(headers, "configuration");
     return it;
--- a/source/process/backend_directory.cpp
+++ b/source/process/backend_directory.cpp
@@ -14,7 +14,8 @@
 constexpr seconds longest_penalty{10};
 constexpr milliseconds other_zone_aversion{5};
 constexpr milliseconds short_elsewhere_aversion{30};
-constexpr milliseconds long_on_kept_aversion{400};
+constexpr milliseconds medium_on_kept_aversion{2'000};
+constexpr milliseconds long_on_kept_aversion{8'000};
 constexpr double assumed_rate = 100'000; // tokens a second before the first report
 
 double ramp_of(time_point linked_since, time_point now)
@@ -188,7 +189,8 @@
         }
         if (!is_short && it.kept_for_short)
         {
-            aversion += long_on_kept_aversion;
+            aversion += is_long(classify(req.prompt_tokens)) ? long_on_kept_aversion
+                                                             : medium_on_kept_aversion;
         }
     }
     return aversion;
@@ -207,7 +209,8 @@
             milliseconds{static_cast<milliseconds::rep>(wait)},
             it.report->running + it.report->queued + it.sent_attempts,
             ramp_of(it.linked_since, now),
-            aversion_to(it, req)};
+            aversion_to(it, req),
+            it.report->memory_total};
 }
 
 /// Marks the servers kept for short prompts: those whose names hash highest, so
--- a/source/process/backend_directory.hpp
+++ b/source/process/backend_directory.hpp
@@ -37,10 +37,11 @@
 {
     std::string vm;
     bool same_zone = false;
-    milliseconds expected_wait{0}; ///< Until the first token, by the last report.
-    std::uint32_t in_flight = 0;   ///< Running and queued there.
-    double ramp = 1;               ///< Share of normal load, below 1 after a start.
-    milliseconds aversion{0};      ///< Wait elsewhere that would still be better.
+    milliseconds expected_wait{0};   ///< Until the first token, by the last report.
+    std::uint32_t in_flight = 0;     ///< Running and queued there.
+    double ramp = 1;                 ///< Share of normal load, below 1 after a start.
+    milliseconds aversion{0};        ///< Wait elsewhere that would still be better.
+    std::uint64_t memory_tokens = 0; ///< Memory of the engine.
 };
 
 /// Thread-safe record of backend servers. Links report into it; choices read it.
--- a/source/process/backend_lane.hpp
+++ b/source/process/backend_lane.hpp
@@ -35,7 +35,6 @@
 {
     while (const auto job = state.queue.take(clock))
     {
-        job->send(attempt_started{});
         auto ended = backend.run(*job, [&] { state.queue.first_token(*job, clock()); });
         if (auto* why = std::get_if<refusal>(&ended);
             why != nullptr && why->reason == refusal_reason::backend_crashed)
--- a/source/process/dispatch_window.cpp
+++ b/source/process/dispatch_window.cpp
@@ -22,7 +22,7 @@
 {
 }
 
-bool dispatch_window::fits(const queue_ticket& ticket) const
+bool dispatch_window::fits(const queue_ticket& ticket, std::uint64_t kept) const
 {
     const auto which = index(ticket.size_class());
     if (running() >= limits_.slots || running_[which] >= limits_.running[which])
@@ -33,7 +33,8 @@
     {
         return false;
     }
-    if (memory_used_ + ticket.memory() > limits_.memory_tokens)
+    const auto promised = ticket.size_class() == length_class::brief ? 0 : kept;
+    if (memory_used_ + ticket.memory() + promised > limits_.memory_tokens)
     {
         return false;
     }
--- a/source/process/dispatch_window.hpp
+++ b/source/process/dispatch_window.hpp
@@ -33,8 +33,10 @@
 public:
     explicit dispatch_window(const dispatch_limits& limits);
 
-    /// Returns whether the attempt fits beside those that run.
-    [[nodiscard]] bool fits(const queue_ticket& ticket) const;
+    /// Returns whether the attempt fits beside those that run. `kept` tokens of
+    /// memory are promised to an attempt that waits for them; prompts under 4,000
+    /// tokens may still use them.
+    [[nodiscard]] bool fits(const queue_ticket& ticket, std::uint64_t kept = 0) const;
     /// Returns whether the attempt could ever run here.
     [[nodiscard]] bool can_ever_fit(const queue_ticket& ticket) const;
     /// Counts an attempt as running since `now`.
--- a/source/process/entry_router.hpp
+++ b/source/process/entry_router.hpp
@@ -6,6 +6,7 @@
 #include "process/backend_choice.hpp"
 #include "process/backend_directory.hpp"
 #include "process/crash_board.hpp"
+#include "process/group_choice.hpp"
 #include "process/prefix_affinity.hpp"
 #include "request/serve_attempts.hpp"
 
@@ -81,7 +82,12 @@
         {
             return std::move(*why);
         }
-        return chosen_backend{best.vm, verdict == crash_verdict::suspect};
+        const bool suspect = verdict == crash_verdict::suspect;
+        if (req.kind == work_kind::completion && needed_memory(req) > best.memory_tokens)
+        {
+            return choose_group(req, list, suspect);
+        }
+        return chosen_backend{best.vm, suspect, {}};
     }
 
     /// Sends an attempt to the chosen backend server.
--- a/source/process/fair_queue.cpp
+++ b/source/process/fair_queue.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr std::size_t remembered_customers = 1'024; // idle customers kept before pruning
+constexpr milliseconds patience{300}; // before memory is kept free for a huge prompt
 
 std::size_t index(length_class which)
 {
@@ -24,6 +25,10 @@
     {
         return why;
     }
+    if (ticket.reserved_tokens > 0)
+    {
+        return std::nullopt; // it needs memory, not the time of this engine
+    }
     return refuse_if_late(window_, ahead_of(ticket, now), ticket, now);
 }
 
@@ -44,6 +49,7 @@
     }
     const auto which = index(ticket.size_class());
     customer.queues[which].push_back(ticket);
+    customer.queues[which].back().queued_at = now;
     customer.queued_tokens[which] += ticket.prompt_tokens;
     ++customer.waiting;
     ++queued_;
@@ -52,9 +58,11 @@
 
 std::optional<ticket_id> fair_queue::take(time_point now)
 {
+    const auto impatient = impatient_memory(now);
     for (std::size_t which = 0; which < length_class_count; ++which)
     {
-        const auto it = next_customer(which);
+        const auto kept = which < index(length_class::huge) ? impatient : 0;
+        const auto it = next_customer(which, kept);
         if (it == customers_.end())
         {
             continue;
@@ -196,13 +204,32 @@
     return lowest;
 }
 
-fair_queue::customer_map::iterator fair_queue::next_customer(std::size_t which)
+/// Returns the memory of the longest-waiting huge prompt if it has waited long: it
+/// is then kept free, so that a stream of smaller prompts cannot starve it.
+std::uint64_t fair_queue::impatient_memory(time_point now) const
+{
+    const queue_ticket* oldest = nullptr;
+    for (const auto& [name, customer] : customers_)
+    {
+        const auto& queue = customer.queues[index(length_class::huge)];
+        if (!queue.empty() &&
+            (oldest == nullptr || queue.front().queued_at < oldest->queued_at))
+        {
+            oldest = &queue.front();
+        }
+    }
+    const bool waits_long = oldest != nullptr && now - oldest->queued_at > patience;
+    return waits_long ? oldest->memory() : 0;
+}
+
+fair_queue::customer_map::iterator fair_queue::next_customer(std::size_t which,
+                                                             std::uint64_t kept)
 {
     auto best = customers_.end();
     for (auto it = customers_.begin(); it != customers_.end(); ++it)
     {
         const auto& queue = it->second.queues[which];
-        if (queue.empty() || !window_.fits(queue.front()))
+        if (queue.empty() || !window_.fits(queue.front(), kept))
         {
             continue;
         }
--- a/source/process/fair_queue.hpp
+++ b/source/process/fair_queue.hpp
@@ -69,7 +69,8 @@
 
     [[nodiscard]] work_ahead ahead_of(const queue_ticket& ticket, time_point now) const;
     [[nodiscard]] double lowest_counter() const;
-    customer_map::iterator next_customer(std::size_t which);
+    [[nodiscard]] std::uint64_t impatient_memory(time_point now) const;
+    customer_map::iterator next_customer(std::size_t which, std::uint64_t kept);
     void remove_front(customer_map::iterator customer, std::size_t which);
     void forget_settled_customers();
 
--- /dev/null
+++ b/source/process/group_choice.cpp
@@ -0,0 +1,75 @@
+#include "process/group_choice.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <vector>
+
+namespace pistachiopost {
+
+namespace {
+
+constexpr double usable_memory = 0.8;  // of an engine, for a part of a group
+constexpr std::size_t max_members = 8; // engines in one group
+
+std::uint64_t part_of(const candidate& it)
+{
+    return static_cast<std::uint64_t>(usable_memory *
+                                      static_cast<double>(it.memory_tokens));
+}
+
+} // namespace
+
+std::uint64_t needed_memory(const request& req)
+{
+    return req.prompt_tokens + req.output_tokens;
+}
+
+choice_result choose_group(const request& req, std::span<const candidate> list,
+                           bool isolated)
+{
+    std::vector<const candidate*> order;
+    for (const auto& it : list)
+    {
+        order.push_back(&it);
+    }
+    std::sort(order.begin(), order.end(), [](const auto* a, const auto* b) {
+        return a->expected_wait + a->aversion < b->expected_wait + b->aversion;
+    });
+    const auto needed = needed_memory(req);
+    std::uint64_t held = 0;
+    std::vector<const candidate*> group;
+    for (const auto* it : order)
+    {
+        if (held >= needed || group.size() == max_members)
+        {
+            break;
+        }
+        group.push_back(it);
+        held += part_of(*it);
+    }
+    if (held < needed)
+    {
+        return refusal{
+            refusal_reason::too_large, run_state::not_run,
+            fmt::format("needs {} tokens of memory; the backend servers at hand "
+                        "hold {} together",
+                        needed, held),
+            milliseconds{0}};
+    }
+    std::sort(group.begin(), group.end(),
+              [](const auto* a, const auto* b) { return a->vm < b->vm; });
+    const auto* runner = group.back();
+    group.pop_back();
+    chosen_backend chosen{runner->vm, isolated, {}};
+    auto elsewhere = needed - std::min(needed, part_of(*runner));
+    for (const auto* it : group)
+    {
+        const auto part = std::min(elsewhere, part_of(*it));
+        chosen.members.push_back({it->vm, part});
+        elsewhere -= part;
+    }
+    return chosen;
+}
+
+} // namespace pistachiopost
--- a/source/process/queue_ticket.hpp
+++ b/source/process/queue_ticket.hpp
@@ -6,6 +6,7 @@
 #include "request/refusal.hpp"
 #include "request/time_types.hpp"
 
+#include <algorithm>
 #include <concepts>
 #include <cstdint>
 #include <optional>
@@ -26,12 +27,22 @@
     std::uint64_t prompt_tokens = 0;
     std::uint64_t output_tokens = 0;
     time_point deadline;
-    bool isolated = false; ///< Suspected of crashing backend servers.
+    bool isolated = false;             ///< Suspected of crashing backend servers.
+    std::uint64_t reserved_tokens = 0; ///< Memory held here for another engine's prompt.
+    std::uint64_t held_elsewhere = 0;  ///< Memory held at other engines for this prompt.
+    time_point queued_at;
 
     /// Returns the prompt length class.
-    [[nodiscard]] length_class size_class() const { return classify(prompt_tokens); }
-    /// Returns the memory it needs at the engine, in tokens.
-    [[nodiscard]] std::uint64_t memory() const { return prompt_tokens + output_tokens; }
+    [[nodiscard]] length_class size_class() const
+    {
+        return classify(prompt_tokens + reserved_tokens);
+    }
+    /// Returns the memory it needs at this engine, in tokens.
+    [[nodiscard]] std::uint64_t memory() const
+    {
+        const auto whole = prompt_tokens + output_tokens + reserved_tokens;
+        return whole - std::min(whole, held_elsewhere);
+    }
     /// Returns its work, in tokens.
     [[nodiscard]] std::uint64_t cost() const
     {
--- a/source/request/attempt.hpp
+++ b/source/request/attempt.hpp
@@ -30,13 +30,16 @@
     std::uint64_t fingerprint = 0;
     milliseconds remaining{0}; ///< Time left until the deadline.
     bool repeatable = true;
-    bool isolated = false; ///< Suspected of crashing backend servers.
+    bool isolated = false;             ///< Suspected of crashing backend servers.
+    std::uint64_t reserved_tokens = 0; ///< Memory to hold, or held by `members`.
+    std::string members;               ///< Places of a group's memory, by comma.
     std::uint64_t configuration_version = 0;
 };
 
 /// The attempt was handed to the backend server.
 struct attempt_started
 {
+    std::string place; ///< For a reservation: where the memory is held.
 };
 
 /// A piece of the answer. Offsets count tokens for completions and bytes for
--- a/source/request/attempt_job.cpp
+++ b/source/request/attempt_job.cpp
@@ -31,6 +31,7 @@
 {
     const std::lock_guard lock(mutex_);
     cancelled_ = true;
+    cancelled_changed_.notify_all();
     if (interrupt_)
     {
         interrupt_();
@@ -43,6 +44,12 @@
     return cancelled_;
 }
 
+void attempt_job::wait_cancelled()
+{
+    std::unique_lock lock(mutex_);
+    cancelled_changed_.wait_until(lock, deadline_, [this] { return cancelled_; });
+}
+
 void attempt_job::interrupt_with(std::function<void()> interrupt)
 {
     const std::lock_guard lock(mutex_);
@@ -63,6 +70,9 @@
     it.output_tokens = order.output_tokens;
     it.deadline = now + order.remaining;
     it.isolated = order.isolated;
+    const bool reserves = order.kind == work_kind::reservation;
+    it.reserved_tokens = reserves ? order.reserved_tokens : 0;
+    it.held_elsewhere = reserves ? 0 : order.reserved_tokens;
     return it;
 }
 
--- a/source/request/attempt_job.hpp
+++ b/source/request/attempt_job.hpp
@@ -5,6 +5,7 @@
 #include "process/queue_ticket.hpp"
 #include "request/attempt.hpp"
 
+#include <condition_variable>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -35,6 +36,8 @@
     void cancel();
     /// Returns whether cancel() was called.
     [[nodiscard]] bool cancelled() const;
+    /// Waits until cancel() is called or the deadline has passed.
+    void wait_cancelled();
     /// Sets what cancel() calls to interrupt a blocking call; empty clears it.
     void interrupt_with(std::function<void()> interrupt);
 
@@ -45,6 +48,7 @@
     event_sink sink_;
     time_point deadline_;
     mutable std::mutex mutex_;
+    std::condition_variable cancelled_changed_;
     std::function<void()> interrupt_;
     bool cancelled_ = false;
 };
--- a/source/request/request.hpp
+++ b/source/request/request.hpp
@@ -16,7 +16,8 @@
 enum class work_kind
 {
     completion, ///< A prompt for a model engine.
-    service     ///< A call of a plain service.
+    service,    ///< A call of a plain service.
+    reservation ///< Memory held for a prompt that runs at another engine.
 };
 
 /// A caller's request. The body is shared, never copied, between attempts.
--- a/source/request/serve_attempts.hpp
+++ b/source/request/serve_attempts.hpp
@@ -19,11 +19,19 @@
 
 namespace pistachiopost {
 
+/// A backend server that holds part of the memory of a prompt run elsewhere.
+struct group_member
+{
+    std::string vm;
+    std::uint64_t tokens = 0;
+};
+
 /// The backend server chosen for an attempt.
 struct chosen_backend
 {
     std::string vm;
     bool isolated = false; ///< The request is suspected of crashing backend servers.
+    std::vector<group_member> members; ///< Others that hold memory for this one.
 };
 
 /// Result of a choice.
@@ -85,6 +93,14 @@
     std::uint64_t delivered = 0; ///< Units that reached the caller.
 };
 
+/// Memory held at the members of a group; released when this goes.
+template <attempt_router Router>
+struct group_hold
+{
+    std::vector<typename Router::attempt> reservations;
+    std::optional<refusal> problem; ///< Set if a member has no memory.
+};
+
 /// How one attempt ended: with the end mark, or with a refusal.
 using attempt_result = std::variant<answer_end, refusal>;
 
@@ -162,6 +178,77 @@
     }
 }
 
+/// What a reservation at one member is waiting for.
+template <answer_receiver Caller>
+std::variant<std::string, refusal> await_reservation(const request& req, mailbox& events,
+                                                     Caller& caller)
+{
+    auto got = caller.wait(events, req.deadline);
+    if (got.caller_gone)
+    {
+        return detail::caller_gone(false);
+    }
+    if (got.event)
+    {
+        if (auto* started = std::get_if<attempt_started>(&*got.event))
+        {
+            return std::move(started->place);
+        }
+        if (auto* failed = std::get_if<attempt_failed>(&*got.event))
+        {
+            return std::move(failed->why);
+        }
+    }
+    return refusal{refusal_reason::deadline_passed, run_state::not_run,
+                   "the deadline passed before memory was free", milliseconds{0}};
+}
+
+/// Reserves memory at every member of the chosen group, one after another in the
+/// order given, which is the same for all entries: groups that wait for each other
+/// can then never lock each other out. Puts the places into `order`. Memory is held
+/// for as long as the result lives.
+template <attempt_router Router, answer_receiver Caller>
+group_hold<Router> reserve_group(const request& req, const chosen_backend& chosen,
+                                 attempt_order& order, Router& router, Caller& caller)
+{
+    group_hold<Router> hold;
+    for (const auto& member : chosen.members)
+    {
+        auto ask = make_order(req, 0, 0, caller.now());
+        ask.attempt_id = order.attempt_id + "." + member.vm;
+        ask.kind = work_kind::reservation;
+        ask.prompt_tokens = 0;
+        ask.output_tokens = 0;
+        ask.reserved_tokens = member.tokens;
+        const auto events = std::make_shared<mailbox>();
+        hold.reservations.push_back(
+            router.start({member.vm}, std::move(ask), nullptr, events));
+        auto place = await_reservation(req, *events, caller);
+        if (auto* why = std::get_if<refusal>(&place))
+        {
+            hold.problem = std::move(*why);
+            hold.problem->state = run_state::not_run;
+            return hold;
+        }
+        order.members += order.members.empty() ? "" : ",";
+        order.members += std::get<std::string>(place);
+        order.reserved_tokens += member.tokens;
+    }
+    return hold;
+}
+
+/// Sends one attempt and relays it to its end.
+template <attempt_router Router, answer_receiver Caller>
+attempt_result run_attempt(const request& req, const chosen_backend& chosen,
+                           attempt_order order, delivery& progress, Router& router,
+                           Caller& caller)
+{
+    const auto events = std::make_shared<mailbox>();
+    [[maybe_unused]] const auto attempt =
+        router.start(chosen, std::move(order), req.body, events);
+    return relay_attempt(req, *events, progress, caller);
+}
+
 /// Serves `req` until it is answered, refused for good or its caller is gone.
 template <attempt_router Router, answer_receiver Caller, retry_budget_like Budget>
 serve_result serve_attempts(const request& req, Router& router, Caller& caller,
@@ -186,10 +273,10 @@
         auto order =
             make_order(req, ++result.attempts, progress.next_offset(), caller.now());
         order.isolated = chosen.isolated;
-        const auto events = std::make_shared<mailbox>();
-        [[maybe_unused]] const auto attempt =
-            router.start(chosen, std::move(order), req.body, events);
-        auto ended = relay_attempt(req, *events, progress, caller);
+        const auto group = reserve_group(req, chosen, order, router, caller);
+        auto ended = group.problem ? attempt_result(*group.problem)
+                                   : run_attempt(req, chosen, std::move(order), progress,
+                                                 router, caller);
         result.delivered = progress.next_offset();
         if (auto* end = std::get_if<answer_end>(&ended))
         {
--- a/tests/standins/caller.cpp
+++ b/tests/standins/caller.cpp
@@ -85,18 +85,18 @@
         result.total_ms = milliseconds_since(start_);
         result.first_token_ms = first_ms_ > 0 ? first_ms_ : result.total_ms;
         result.gaps_ms = std::move(gaps_);
-        if (result.status == 0)
+        if (!error_.is_null())
         {
+            read_error(result, error_);
             return;
         }
-        if (result.status != 200)
+        if (result.status == 0)
         {
-            read_error(result, parse(text_.empty() ? raw_ : text_));
             return;
         }
-        if (!error_.is_null())
+        if (result.status != 200)
         {
-            read_error(result, error_);
+            read_error(result, parse(text_.empty() ? raw_ : text_));
             return;
         }
         if (call_.model.empty())
@@ -301,6 +301,12 @@
         }
     }
 
+    void count_resent()
+    {
+        const std::lock_guard lock(mutex_);
+        ++result_.resent;
+    }
+
     load_result take() { return std::move(result_); }
 
 private:
@@ -387,7 +393,16 @@
                 start + std::chrono::duration_cast<clock::duration>(
                             std::chrono::duration<double>(request.at_seconds));
             std::this_thread::sleep_until(due);
-            recorder.add(request, make_call_from(single, due));
+            auto got = make_call_from(single, due);
+            // An entry that is gone: the platform's balancer leads to another, and the
+            // caller sends its prompt again.
+            for (std::size_t k = 1; got.broken() && k < it.entries.size(); ++k)
+            {
+                single.entry = it.entries[(request.entry + k) % it.entries.size()];
+                got = make_call_from(single, due);
+                recorder.count_resent();
+            }
+            recorder.add(request, got);
         }
     };
     std::vector<task> callers;
@@ -447,6 +462,7 @@
     document["crest"] = class_json(it.crest);
     document["gap_ms"] = {{"median", quantile(it.gaps_ms, 0.5)},
                           {"p95", quantile(it.gaps_ms, 0.95)}};
+    document["resent"] = it.resent;
     document["refusals"] = it.refusals;
     document["answered_work"] = it.answered_work;
     document["offered_work"] = it.offered_work;
--- a/tests/standins/caller.hpp
+++ b/tests/standins/caller.hpp
@@ -44,6 +44,8 @@
     double total_ms = 0;
     std::vector<double> gaps_ms; ///< Times between pieces of a stream.
 
+    /// Returns whether the connection broke without a word from the entry.
+    [[nodiscard]] bool broken() const { return status == 0 && type.empty(); }
     /// Returns "answered", "refused" (not run, in time) or "failed".
     [[nodiscard]] std::string_view kind() const;
 };
@@ -89,6 +91,7 @@
 {
     std::array<class_result, length_class_count> classes;
     std::vector<double> gaps_ms;
+    std::uint64_t resent = 0; ///< Calls sent again because an entry was gone.
     std::map<std::string, std::uint64_t> refusals; ///< By type and execution.
     std::vector<std::uint64_t> answered_work;      ///< Tokens of work, for each customer.
     std::vector<std::uint64_t> offered_work;
--- a/tests/standins/engine.cpp
+++ b/tests/standins/engine.cpp
@@ -1,5 +1,6 @@
 #include "standins/engine.hpp"
 
+#include "connection/http_client.hpp"
 #include "connection/http_server.hpp"
 #include "process/task.hpp"
 #include "standins/model_answer.hpp"
@@ -61,7 +62,7 @@
 std::shared_ptr<engine_job> engine::add(engine_job job, std::string_view prompt)
 {
     const std::lock_guard lock(mutex_);
-    if (job.prompt_tokens + job.total > options_.memory_tokens)
+    if (job.memory() > options_.memory_tokens)
     {
         return nullptr;
     }
@@ -75,6 +76,32 @@
     return shared;
 }
 
+bool engine::reserve(const std::string& id, const std::string& owner,
+                     std::uint64_t tokens)
+{
+    const std::lock_guard lock(mutex_);
+    if (memory_used_ + tokens > options_.memory_tokens)
+    {
+        return false;
+    }
+    auto job = std::make_shared<engine_job>();
+    job->id = id;
+    job->owner = owner;
+    job->prompt_tokens = tokens;
+    job->admitted = true;
+    job->reservation = true;
+    memory_used_ += tokens;
+    jobs_.insert_or_assign(id, std::move(job));
+    return true;
+}
+
+std::uint64_t engine::reserved(std::string_view id)
+{
+    const std::lock_guard lock(mutex_);
+    const auto it = jobs_.find(id);
+    return it == jobs_.end() || !it->second->reservation ? 0 : it->second->prompt_tokens;
+}
+
 std::uint64_t engine::wait_for_more(const engine_job& job, std::uint64_t sent)
 {
     std::unique_lock lock(mutex_);
@@ -93,7 +120,7 @@
     it->second->cancelled = true;
     if (it->second->admitted)
     {
-        memory_used_ -= it->second->prompt_tokens + it->second->total;
+        memory_used_ -= it->second->memory();
     }
     jobs_.erase(it);
     changed_.notify_all();
@@ -143,7 +170,8 @@
             changed_.wait(lock, [this] {
                 return !hang_ &&
                        std::any_of(jobs_.begin(), jobs_.end(), [](const auto& it) {
-                           return it.second->produced < it.second->total;
+                           return !it.second->reservation &&
+                                  it.second->produced < it.second->total;
                        });
             });
             auto batch = admit();
@@ -172,14 +200,14 @@
     std::vector<std::shared_ptr<engine_job>> batch;
     for (const auto& job : order)
     {
-        const auto needed = job->prompt_tokens + job->total;
+        const auto needed = job->memory();
         if (!job->admitted && running < options_.slots &&
             memory_used_ + needed <= options_.memory_tokens)
         {
             job->admitted = true;
             memory_used_ += needed;
         }
-        if (job->admitted && job->produced < job->total)
+        if (job->admitted && !job->reservation && job->produced < job->total)
         {
             ++running;
             batch.push_back(job);
@@ -224,7 +252,7 @@
 {
     for (const auto& [id, job] : jobs_)
     {
-        if (!job->admitted || job->produced >= job->total)
+        if (!job->admitted || job->reservation || job->produced >= job->total)
         {
             continue;
         }
@@ -298,6 +326,28 @@
     }
 }
 
+/// Asks the members of a group for the key-value cache they hold; returns its size.
+std::uint64_t import_group(std::string_view members)
+{
+    std::uint64_t tokens = 0;
+    while (!members.empty())
+    {
+        const auto member = members.substr(0, members.find(','));
+        members.remove_prefix(std::min(members.size(), member.size() + 1));
+        const auto slash = member.find('/');
+        const auto colon = member.find(':');
+        const endpoint where{
+            std::string(member.substr(0, colon)),
+            static_cast<std::uint16_t>(std::atoi(
+                std::string(member.substr(colon + 1, slash - colon - 1)).c_str()))};
+        http_client client(where, milliseconds{2'000});
+        const auto answer =
+            client.post("/v1/kv/export", json{{"id", member.substr(slash + 1)}}.dump());
+        tokens += json::parse(answer.body).at("tokens").get<std::uint64_t>();
+    }
+    return tokens;
+}
+
 void serve_completion(engine& it, const httplib::Request& req, httplib::Response& res)
 {
     const auto body = json::parse(req.body);
@@ -312,6 +362,7 @@
     job.first =
         std::strtoull(req.get_header_value("X-Resume-Offset").c_str(), nullptr, 10);
     job.produced = job.first;
+    job.held_elsewhere = import_group(req.get_header_value("X-Group"));
     job.poisonous = prompt.find(poison_mark) != std::string::npos;
     if (const auto added = it.add(std::move(job), prompt))
     {
@@ -343,6 +394,18 @@
         it.cancel(req.matches[1].str());
         res.set_content("{}", "application/json");
     });
+    server.Post("/v1/reservations", [&it](const auto& req, auto& res) {
+        const auto order = json::parse(req.body);
+        const bool held =
+            it.reserve(order.at("id"), order.at("owner"), order.at("tokens"));
+        res.status = held ? 200 : 507;
+        res.set_content("{}", "application/json");
+    });
+    server.Post("/v1/kv/export", [&it](const auto& req, auto& res) {
+        const auto tokens =
+            it.reserved(json::parse(req.body).at("id").template get<std::string>());
+        res.set_content(json{{"tokens", tokens}}.dump(), "application/json");
+    });
     server.Post("/faults", [&it](const auto& req, auto& res) {
         it.set_faults(req.body);
         res.set_content("{}", "application/json");
--- a/tests/standins/engine.hpp
+++ b/tests/standins/engine.hpp
@@ -45,7 +45,15 @@
     bool poisonous = false;
     bool admitted = false;
     bool cancelled = false;
-    bool crossed = false; ///< Its events carry another id.
+    bool crossed = false;             ///< Its events carry another id.
+    bool reservation = false;         ///< Holds memory only.
+    std::uint64_t held_elsewhere = 0; ///< Memory held by other engines of the group.
+
+    /// Returns the memory it takes here.
+    [[nodiscard]] std::uint64_t memory() const
+    {
+        return prompt_tokens + total - held_elsewhere;
+    }
 };
 
 /// The engine. Thread-safe.
@@ -56,6 +64,10 @@
 
     /// Adds a stream for `prompt`; null if it can never fit.
     std::shared_ptr<engine_job> add(engine_job job, std::string_view prompt);
+    /// Holds memory; returns whether there was room.
+    bool reserve(const std::string& id, const std::string& owner, std::uint64_t tokens);
+    /// Returns the tokens held under a reservation, 0 if there is none.
+    std::uint64_t reserved(std::string_view id);
     /// Waits until the stream has more than `sent` tokens or ends; returns the
     /// number produced.
     std::uint64_t wait_for_more(const engine_job& job, std::uint64_t sent);
