Group members read their own part; drain model for work sent; no budget for redirects

Cause: a group's runner did all prefill while its members' memory stood reserved and idle; memory kept for a huge prompt held up prompts of 4k to 32k; an entry counted work sent since the last report as if none had been done; refused small customers had no second try once the retry budget was spent. Change: the engine stand-in reads a group's parts side by side; kept memory binds only prompts over 32k; sent work drains at the measured rate; refusals before any work are redirected without the budget.

--- a/source/connection/agent_link.cpp
+++ b/source/connection/agent_link.cpp
@@ -66,7 +66,8 @@
             const auto headers = encode_order(order);
             const auto stream = session_.open(headers, body);
             attempts_.emplace(stream, open_attempt{events, {}});
-            owner_.directory_.count_sent(owner_.server_.vm, order.prompt_tokens);
+            owner_.directory_.count_sent(owner_.server_.vm, order.prompt_tokens,
+                                         steady::now());
         });
     }
 
--- a/source/process/backend_directory.cpp
+++ b/source/process/backend_directory.cpp
@@ -13,7 +13,7 @@
 constexpr milliseconds first_penalty{100}; // avoidance after one failure
 constexpr seconds longest_penalty{10};
 constexpr milliseconds other_zone_aversion{5};
-constexpr milliseconds short_elsewhere_aversion{30};
+constexpr milliseconds short_elsewhere_aversion{100};
 constexpr milliseconds medium_on_kept_aversion{2'000};
 constexpr milliseconds long_on_kept_aversion{8'000};
 constexpr double assumed_rate = 100'000; // tokens a second before the first report
@@ -25,6 +25,16 @@
     return std::clamp(up / full, ramp_start, 1.0);
 }
 
+double rate_of(const std::optional<load_report>& report)
+{
+    return report && report->prefill_rate > 0 ? report->prefill_rate : assumed_rate;
+}
+
+double seconds_between(time_point from, time_point to)
+{
+    return std::chrono::duration<double>(to - from).count();
+}
+
 steady::duration penalty(std::uint32_t failures)
 {
     const auto doublings = std::min(failures - 1, 10U);
@@ -93,16 +103,19 @@
         state->linked_since = now;
     }
     state->report = report;
+
     state->sent_tokens = 0;
     state->sent_attempts = 0;
 }
 
-void backend_directory::count_sent(std::string_view vm, std::uint64_t tokens)
+void backend_directory::count_sent(std::string_view vm, std::uint64_t tokens,
+                                   time_point now)
 {
     const std::lock_guard lock(mutex_);
     if (auto* state = find(vm))
     {
-        state->sent_tokens += tokens;
+        state->sent_tokens = pending_tokens(*state, now) + static_cast<double>(tokens);
+        state->sent_at = now;
         ++state->sent_attempts;
     }
 }
@@ -196,14 +209,19 @@
     return aversion;
 }
 
+double backend_directory::pending_tokens(const server_state& it, time_point now)
+{
+    const auto done = rate_of(it.report) * seconds_between(it.sent_at, now);
+    return std::max(it.sent_tokens - done, 0.0);
+}
+
 candidate backend_directory::describe(const server_state& it, const request& req,
                                       time_point now) const
 {
     const auto which = static_cast<std::size_t>(classify(req.prompt_tokens));
-    const auto rate =
-        it.report->prefill_rate > 0 ? it.report->prefill_rate : assumed_rate;
-    const auto ahead = it.report->backlog[which] + it.sent_tokens;
-    const auto wait = 1'000.0 * static_cast<double>(ahead) / rate;
+    const auto reported = static_cast<double>(it.report->backlog[which]);
+    const auto ahead = reported + pending_tokens(it, now);
+    const auto wait = 1'000.0 * ahead / rate_of(it.report);
     return {it.server.vm,
             it.server.zone == zone_,
             milliseconds{static_cast<milliseconds::rep>(wait)},
--- a/source/process/backend_directory.hpp
+++ b/source/process/backend_directory.hpp
@@ -65,7 +65,7 @@
     /// Records a report of the agent on `vm`.
     void set_report(std::string_view vm, const load_report& report, time_point now);
     /// Counts an attempt sent to `vm`.
-    void count_sent(std::string_view vm, std::uint64_t tokens);
+    void count_sent(std::string_view vm, std::uint64_t tokens, time_point now);
     /// Counts a failure of `vm`, which is avoided for a while.
     void count_failure(std::string_view vm, time_point now);
     /// Counts a whole answer of `vm`.
@@ -90,12 +90,16 @@
         bool linked = false;
         time_point linked_since;
         std::optional<load_report> report;
-        std::uint64_t sent_tokens = 0;   ///< Sent since the last report.
+        double sent_tokens = 0; ///< Sent since the last report, less what is done.
+        time_point sent_at;
+
         std::uint32_t sent_attempts = 0; ///< Sent since the last report.
         std::uint32_t failures = 0;      ///< Since the last whole answer.
         time_point avoided_until;
     };
 
+    /// Work sent since the last report and not yet done, by the measured rate.
+    [[nodiscard]] static double pending_tokens(const server_state& it, time_point now);
     [[nodiscard]] bool may_serve(const server_state& it, const request& req,
                                  time_point now) const;
     [[nodiscard]] milliseconds aversion_to(const server_state& it,
--- a/source/process/dispatch_window.cpp
+++ b/source/process/dispatch_window.cpp
@@ -7,7 +7,8 @@
 
 namespace {
 
-constexpr double smoothing = 0.1;                     // weight of a new sample
+constexpr double least_share_left = 0.1; // of the engine, for classes behind shorter ones
+constexpr double smoothing = 0.1;        // weight of a new sample
 constexpr std::uint64_t rate_sample_tokens = 100'000; // prompt tokens
 
 std::size_t index(length_class which)
@@ -33,7 +34,7 @@
     {
         return false;
     }
-    const auto promised = ticket.size_class() == length_class::brief ? 0 : kept;
+    const auto promised = is_long(ticket.size_class()) ? kept : 0;
     if (memory_used_ + ticket.memory() + promised > limits_.memory_tokens)
     {
         return false;
@@ -56,9 +57,18 @@
     return ticket.memory() <= limits_.memory_tokens;
 }
 
-time_point dispatch_window::latest_start(const queue_ticket& ticket) const
+time_point dispatch_window::latest_start(const queue_ticket& ticket,
+                                         double busy_share) const
 {
-    return ticket.deadline - prefill_time(ticket.prompt_tokens) - generation_time(ticket);
+    return ticket.deadline - slowed(prefill_time(ticket.prompt_tokens), busy_share) -
+           generation_time(ticket);
+}
+
+milliseconds dispatch_window::slowed(milliseconds prefill, double busy_share)
+{
+    const auto left = std::max(1 - busy_share, least_share_left);
+    return milliseconds{
+        static_cast<milliseconds::rep>(static_cast<double>(prefill.count()) / left)};
 }
 
 milliseconds dispatch_window::prefill_time(std::uint64_t tokens) const
--- a/source/process/dispatch_window.hpp
+++ b/source/process/dispatch_window.hpp
@@ -34,7 +34,7 @@
     explicit dispatch_window(const dispatch_limits& limits);
 
     /// Returns whether the attempt fits beside those that run. `kept` tokens of
-    /// memory are promised to an attempt that waits for them; prompts under 4,000
+    /// memory are promised to an attempt that waits for them; prompts under 32,000
     /// tokens may still use them.
     [[nodiscard]] bool fits(const queue_ticket& ticket, std::uint64_t kept = 0) const;
     /// Returns whether the attempt could ever run here.
@@ -42,8 +42,11 @@
     /// Counts an attempt as running since `now`.
     void start(const queue_ticket& ticket, time_point now);
     /// Returns the last moment at which the attempt can start and still end before
-    /// its deadline.
-    [[nodiscard]] time_point latest_start(const queue_ticket& ticket) const;
+    /// its deadline, while shorter prompts take `busy_share` of the engine's time.
+    [[nodiscard]] time_point latest_start(const queue_ticket& ticket,
+                                          double busy_share) const;
+    /// Returns how long `prefill` takes when it gets only what `busy_share` leaves.
+    static milliseconds slowed(milliseconds prefill, double busy_share);
     /// Returns the time the engine needs to prefill `tokens` with nothing beside.
     [[nodiscard]] milliseconds prefill_time(std::uint64_t tokens) const;
     /// Returns the time the engine needs to generate the attempt's answer.
--- a/source/process/fair_queue.cpp
+++ b/source/process/fair_queue.cpp
@@ -114,7 +114,7 @@
         {
             for (const auto& ticket : queue)
             {
-                if (window_.latest_start(ticket) <= now)
+                if (latest_start(ticket, now) <= now)
                 {
                     late.push_back(ticket.id);
                 }
@@ -128,7 +128,7 @@
     return late;
 }
 
-std::optional<time_point> fair_queue::next_expiry() const
+std::optional<time_point> fair_queue::next_expiry(time_point now) const
 {
     std::optional<time_point> earliest;
     for (const auto& [name, customer] : customers_)
@@ -137,7 +137,7 @@
         {
             for (const auto& ticket : queue)
             {
-                const auto expiry = window_.latest_start(ticket);
+                const auto expiry = latest_start(ticket, now);
                 earliest = std::min(earliest.value_or(expiry), expiry);
             }
         }
@@ -145,6 +145,17 @@
     return earliest;
 }
 
+time_point fair_queue::latest_start(const queue_ticket& ticket, time_point now) const
+{
+    return window_.latest_start(ticket, busy_share(ticket, now));
+}
+
+/// Returns the share of the engine's time that shorter prompts take.
+double fair_queue::busy_share(const queue_ticket& ticket, time_point now) const
+{
+    return arrivals_.rate_below(ticket.size_class(), now) / window_.prefill_rate();
+}
+
 work_ahead fair_queue::ahead_of_newcomer(length_class which, time_point now) const
 {
     queue_ticket newcomer;
--- a/source/process/fair_queue.hpp
+++ b/source/process/fair_queue.hpp
@@ -44,7 +44,7 @@
     /// Removes and returns waiting attempts that can no longer end in time.
     std::vector<ticket_id> expired(time_point now);
     /// Returns when the next waiting attempt expires.
-    [[nodiscard]] std::optional<time_point> next_expiry() const;
+    [[nodiscard]] std::optional<time_point> next_expiry(time_point now) const;
 
     /// Returns the work a new customer's attempt of class `which` waits for.
     [[nodiscard]] work_ahead ahead_of_newcomer(length_class which, time_point now) const;
@@ -69,6 +69,9 @@
 
     [[nodiscard]] work_ahead ahead_of(const queue_ticket& ticket, time_point now) const;
     [[nodiscard]] double lowest_counter() const;
+    [[nodiscard]] time_point latest_start(const queue_ticket& ticket,
+                                          time_point now) const;
+    [[nodiscard]] double busy_share(const queue_ticket& ticket, time_point now) const;
     [[nodiscard]] std::uint64_t impatient_memory(time_point now) const;
     customer_map::iterator next_customer(std::size_t which, std::uint64_t kept);
     void remove_front(customer_map::iterator customer, std::size_t which);
--- a/source/process/fifo_queue.cpp
+++ b/source/process/fifo_queue.cpp
@@ -64,7 +64,7 @@
     return late;
 }
 
-std::optional<time_point> fifo_queue::next_expiry() const
+std::optional<time_point> fifo_queue::next_expiry(time_point /*now*/) const
 {
     std::optional<time_point> earliest;
     for (const auto& ticket : queue_)
--- a/source/process/fifo_queue.hpp
+++ b/source/process/fifo_queue.hpp
@@ -32,7 +32,7 @@
     /// Removes and returns waiting attempts whose deadline has passed.
     std::vector<ticket_id> expired(time_point now);
     /// Returns when the next waiting attempt expires.
-    [[nodiscard]] std::optional<time_point> next_expiry() const;
+    [[nodiscard]] std::optional<time_point> next_expiry(time_point now) const;
 
     /// Returns the work ahead of a new attempt, whatever its class.
     [[nodiscard]] work_ahead ahead_of_newcomer(length_class which, time_point now) const;
--- a/source/process/finish_estimate.cpp
+++ b/source/process/finish_estimate.cpp
@@ -8,7 +8,6 @@
 
 namespace {
 
-constexpr double least_share_left = 0.1; // of the engine, for classes behind shorter ones
 constexpr milliseconds margin{50};
 
 milliseconds slot_wait(const dispatch_window& window, std::uint32_t attempts_ahead)
@@ -27,10 +26,8 @@
                                   std::uint64_t prompt_tokens)
 {
     const auto prefill = window.prefill_time(ahead.prefill_tokens + prompt_tokens);
-    const auto left_for_it = std::max(1 - ahead.busy_share, least_share_left);
-    const auto slowed = milliseconds{static_cast<milliseconds::rep>(
-        static_cast<double>(prefill.count()) / left_for_it)};
-    return std::max(slowed, slot_wait(window, ahead.attempts));
+    return std::max(dispatch_window::slowed(prefill, ahead.busy_share),
+                    slot_wait(window, ahead.attempts));
 }
 
 std::optional<refusal> refuse_if_late(const dispatch_window& window,
--- a/source/process/queue_ticket.hpp
+++ b/source/process/queue_ticket.hpp
@@ -73,7 +73,7 @@
         it.expired(now)
         } -> std::same_as<std::vector<ticket_id>>;
     {
-        fixed.next_expiry()
+        fixed.next_expiry(now)
         } -> std::same_as<std::optional<time_point>>;
 };
 
--- a/source/process/work_queue.hpp
+++ b/source/process/work_queue.hpp
@@ -60,7 +60,7 @@
                 ready_.notify_one(); // more than one job may fit now
                 return jobs_.at(*id);
             }
-            wait_for_change(lock);
+            wait_for_change(lock, now);
         }
         return nullptr;
     }
@@ -158,9 +158,9 @@
         }
     }
 
-    void wait_for_change(std::unique_lock<std::mutex>& lock)
+    void wait_for_change(std::unique_lock<std::mutex>& lock, time_point now)
     {
-        if (const auto until = discipline_.next_expiry())
+        if (const auto until = discipline_.next_expiry(now))
         {
             ready_.wait_until(lock, *until);
         }
--- a/source/request/retry_policy.cpp
+++ b/source/request/retry_policy.cpp
@@ -21,6 +21,14 @@
     return req.repeatable || why.state == run_state::not_run;
 }
 
+bool is_redirect(const refusal& why)
+{
+    const bool turned_away = why.reason == refusal_reason::draining ||
+                             why.reason == refusal_reason::queue_full ||
+                             why.reason == refusal_reason::deadline_too_short;
+    return turned_away && why.state == run_state::not_run;
+}
+
 milliseconds retry_delay(const retry_limits& limits, std::uint32_t next_attempt,
                          double jitter)
 {
--- a/source/request/retry_policy.hpp
+++ b/source/request/retry_policy.hpp
@@ -44,6 +44,10 @@
 milliseconds retry_delay(const retry_limits& limits, std::uint32_t next_attempt,
                          double jitter);
 
+/// Returns whether a backend server turned the request away before any work was
+/// done. Trying another one costs a few headers, so it is not drawn from the budget.
+bool is_redirect(const refusal& why);
+
 /// Decides whether `req` gets another attempt after `attempts_made` of them, the
 /// last of which failed with `why`.
 template <retry_budget_like Budget>
@@ -60,7 +64,7 @@
     {
         return {};
     }
-    if (!budget.try_spend(now))
+    if (!is_redirect(why) && !budget.try_spend(now))
     {
         return {};
     }
--- a/tests/standins/caller.cpp
+++ b/tests/standins/caller.cpp
@@ -399,6 +399,8 @@
             for (std::size_t k = 1; got.broken() && k < it.entries.size(); ++k)
             {
                 single.entry = it.entries[(request.entry + k) % it.entries.size()];
+                const auto spent = static_cast<std::uint32_t>(milliseconds_since(due));
+                single.deadline_ms = it.deadline_ms - std::min(spent, it.deadline_ms - 1);
                 got = make_call_from(single, due);
                 recorder.count_resent();
             }
--- a/tests/standins/engine.hpp
+++ b/tests/standins/engine.hpp
@@ -45,10 +45,18 @@
     bool poisonous = false;
     bool admitted = false;
     bool cancelled = false;
-    bool crossed = false;             ///< Its events carry another id.
-    bool reservation = false;         ///< Holds memory only.
+    bool crossed = false;     ///< Its events carry another id.
+    bool reservation = false; ///< Holds memory only.
+    bool prefills = false;    ///< A reservation that reads its part of the prompt.
+    bool imported = true;     ///< The parts of the group are there.
     std::uint64_t held_elsewhere = 0; ///< Memory held by other engines of the group.
 
+    /// Returns whether steps can carry it further.
+    [[nodiscard]] bool active() const
+    {
+        return reservation ? left_to_prefill > 0
+                           : produced < total && (imported || left_to_prefill > 0);
+    }
     /// Returns the memory it takes here.
     [[nodiscard]] std::uint64_t memory() const
     {
@@ -66,8 +74,13 @@
     std::shared_ptr<engine_job> add(engine_job job, std::string_view prompt);
     /// Holds memory; returns whether there was room.
     bool reserve(const std::string& id, const std::string& owner, std::uint64_t tokens);
-    /// Returns the tokens held under a reservation, 0 if there is none.
+    /// Starts to read the part of a prompt that belongs to a reservation; returns
+    /// its tokens, 0 if there is none.
+    std::uint64_t prefill_reserved(std::string_view id);
+    /// Waits until that part is read; returns its tokens, 0 if there is none.
     std::uint64_t reserved(std::string_view id);
+    /// Says that the parts of the group have arrived.
+    void mark_imported(engine_job& job);
     /// Waits until the stream has more than `sent` tokens or ends; returns the
     /// number produced.
     std::uint64_t wait_for_more(const engine_job& job, std::uint64_t sent);
