Fair lead between classes; long prompts compare all backend servers

Cause: at the swing small customers' long prompts were refused because shorter prompts of others pass without bound, and in the steady phase long prompts were refused by one busy server while others had room. Change: prompts over 4k pass longer ones only up to a lead of 200,000 tokens for each unit of weight; estimates use the counters; prompts over 32k compare all linked servers instead of four.

--- a/source/process/backend_choice.cpp
+++ b/source/process/backend_choice.cpp
@@ -58,7 +58,8 @@
 } // namespace
 
 const candidate& two_choices::choose(std::span<const candidate> list,
-                                     std::string_view affine, std::uint64_t random)
+                                     std::string_view affine, std::uint64_t random,
+                                     bool thorough)
 {
     draw numbers(random);
     auto kept = without_starting(list, numbers);
@@ -78,6 +79,10 @@
             sampled.push_back(group[numbers.below(group.size())]);
         }
     }
+    if (thorough)
+    {
+        sampled = kept;
+    }
     const auto* best = *std::min_element(
         sampled.begin(), sampled.end(), [](const auto* a, const auto* b) {
             return penalized_wait(*a) < penalized_wait(*b);
@@ -93,7 +98,8 @@
 }
 
 const candidate& least_loaded::choose(std::span<const candidate> list,
-                                      std::string_view /*affine*/, std::uint64_t random)
+                                      std::string_view /*affine*/, std::uint64_t random,
+                                      bool /*thorough*/)
 {
     const auto start = static_cast<std::size_t>(random % list.size());
     const auto* best = &list[start];
@@ -110,7 +116,7 @@
 
 const candidate& round_robin::choose(std::span<const candidate> list,
                                      std::string_view /*affine*/,
-                                     std::uint64_t /*random*/)
+                                     std::uint64_t /*random*/, bool /*thorough*/)
 {
     return list[turn_++ % list.size()];
 }
--- a/source/process/backend_choice.hpp
+++ b/source/process/backend_choice.hpp
@@ -17,23 +17,24 @@
 /// never empty.
 template <typename Choice>
 concept backend_choice = requires(Choice& it, std::span<const candidate> list,
-                                  std::string_view affine, std::uint64_t random)
+                                  std::string_view affine, std::uint64_t random,
+                                  bool thorough)
 {
     {
-        it.choose(list, affine, random)
+        it.choose(list, affine, random, thorough)
         } -> std::same_as<const candidate&>;
 };
 
 /// Compares two random servers of those it is least averse to (own availability
 /// zone, meant for the prompt's length) and two of the others, and takes the one
-/// with the lowest expected wait plus aversion. The affine server wins if its sum is
-/// not much higher.
+/// with the lowest expected wait plus aversion; if thorough, of all. The affine server
+/// wins if its sum is not much higher.
 class two_choices
 {
 public:
     /// Returns the choice.
     const candidate& choose(std::span<const candidate> list, std::string_view affine,
-                            std::uint64_t random);
+                            std::uint64_t random, bool thorough);
 };
 
 /// Takes the server with the fewest attempts in flight. Baseline.
@@ -42,7 +43,7 @@
 public:
     /// Returns the choice.
     const candidate& choose(std::span<const candidate> list, std::string_view affine,
-                            std::uint64_t random);
+                            std::uint64_t random, bool thorough);
 };
 
 /// Takes each server in turn. Baseline.
@@ -51,7 +52,7 @@
 public:
     /// Returns the choice.
     const candidate& choose(std::span<const candidate> list, std::string_view affine,
-                            std::uint64_t random);
+                            std::uint64_t random, bool thorough);
 
 private:
     std::atomic<std::uint64_t> turn_{0};
--- a/source/process/entry_router.hpp
+++ b/source/process/entry_router.hpp
@@ -77,7 +77,8 @@
                            seconds{1}};
         }
         const auto affine = affinity_.find(req.prefix_hash);
-        const auto& best = choice_.choose(list, affine, next_random());
+        const auto& best = choice_.choose(list, affine, next_random(),
+                                          is_long(classify(req.prompt_tokens)));
         if (auto why = refuse_if_all_late(list, req, now))
         {
             return std::move(*why);
--- a/source/process/fair_queue.cpp
+++ b/source/process/fair_queue.cpp
@@ -1,6 +1,7 @@
 #include "process/fair_queue.hpp"
 
 #include <algorithm>
+#include <numeric>
 
 namespace pistachiopost {
 
@@ -8,6 +9,7 @@
 
 constexpr std::size_t remembered_customers = 1'024; // idle customers kept before pruning
 constexpr milliseconds patience{300}; // before memory is kept free for a huge prompt
+constexpr double lead_of_shorter = 200'000; // tokens, for each unit of weight
 
 std::size_t index(length_class which)
 {
@@ -43,6 +45,7 @@
     forget_settled_customers();
     auto [it, is_new] = customers_.try_emplace(ticket.customer);
     auto& customer = it->second;
+    customer.weight = std::max(ticket.weight, 1U);
     if (customer.waiting == 0)
     {
         customer.served = std::max(customer.served, lowest_counter());
@@ -63,7 +66,7 @@
     {
         const auto kept = which < index(length_class::huge) ? impatient : 0;
         const auto it = next_customer(which, kept);
-        if (it == customers_.end())
+        if (it == customers_.end() || must_yield(it->second, which))
         {
             continue;
         }
@@ -166,40 +169,64 @@
     return ahead_of(newcomer, now);
 }
 
-/// A newcomer is served after running prefill, its customer's own queue, and at
-/// most as much of each other customer's queue as its own customer will have had.
+/// Before the attempt come the running prefill, its customer's own queue and, of
+/// every other customer, what its counter lets pass until the counters are even.
 work_ahead fair_queue::ahead_of(const queue_ticket& ticket, time_point now) const
 {
     const auto which = index(ticket.size_class());
-    std::uint64_t own = ticket.prompt_tokens;
-    if (const auto it = customers_.find(ticket.customer); it != customers_.end())
-    {
-        own += it->second.queued_tokens[which];
-    }
-    work_ahead ahead{window_.unfinished_prefill(ticket.size_class()), 0,
-                     arrivals_.rate_below(ticket.size_class(), now) /
-                         window_.prefill_rate()};
-    ahead.prefill_tokens += own - ticket.prompt_tokens;
+    const auto running = window_.unfinished_prefill(ticket.size_class());
+    const auto* own = find_customer(ticket.customer);
+    const auto own_tokens = own == nullptr ? 0 : queued_up_to(*own, which);
+    const auto counter =
+        own != nullptr && own->waiting > 0 ? own->served : lowest_counter();
+    const auto weight = static_cast<double>(std::max(ticket.weight, 1U));
+    const auto turn =
+        counter + static_cast<double>(own_tokens + ticket.prompt_tokens) / weight;
+    work_ahead ahead{running + own_tokens, 0, busy_share(ticket, now),
+                     running + own_tokens};
     for (const auto& [name, customer] : customers_)
     {
-        const bool is_own = name == ticket.customer;
-        for (std::size_t shorter = 0; shorter <= which; ++shorter)
+        ahead.attempts += attempts_up_to(customer, which);
+        if (&customer == own || customer.waiting == 0)
         {
-            const auto tokens = customer.queued_tokens[shorter];
-            ahead.attempts += static_cast<std::uint32_t>(customer.queues[shorter].size());
-            if (shorter < which)
-            {
-                ahead.prefill_tokens += tokens;
-            }
-            else if (!is_own)
-            {
-                ahead.prefill_tokens += std::min(tokens, own);
-            }
+            continue;
         }
+        const auto passes = tokens_until(customer, turn);
+        ahead.prefill_tokens += std::min(queued_up_to(customer, which), passes);
+        ahead.most_tokens += tokens_until(customer, turn + lead_of_shorter);
     }
     return ahead;
 }
 
+const fair_queue::customer_state* fair_queue::find_customer(std::string_view name) const
+{
+    const auto it = customers_.find(name);
+    return it == customers_.end() ? nullptr : &it->second;
+}
+
+std::uint64_t fair_queue::queued_up_to(const customer_state& it, std::size_t which)
+{
+    const auto end = it.queued_tokens.begin() + static_cast<std::ptrdiff_t>(which) + 1;
+    return std::accumulate(it.queued_tokens.begin(), end, std::uint64_t{0});
+}
+
+std::uint32_t fair_queue::attempts_up_to(const customer_state& it, std::size_t which)
+{
+    std::size_t n = 0;
+    for (std::size_t i = 0; i <= which; ++i)
+    {
+        n += it.queues[i].size();
+    }
+    return static_cast<std::uint32_t>(n);
+}
+
+/// Returns the work that brings the customer's counter to `counter`.
+std::uint64_t fair_queue::tokens_until(const customer_state& it, double counter)
+{
+    const auto tokens = (counter - it.served) * it.weight;
+    return tokens > 0 ? static_cast<std::uint64_t>(tokens) : 0;
+}
+
 double fair_queue::lowest_counter() const
 {
     double lowest = floor_;
@@ -215,6 +242,28 @@
     return lowest;
 }
 
+/// Shorter prompts pass longer ones, but only until their customer is well ahead of
+/// one whose longer prompts wait. Prompts under 4,000 tokens always pass.
+bool fair_queue::must_yield(const customer_state& customer, std::size_t which) const
+{
+    if (which == index(length_class::brief))
+    {
+        return false;
+    }
+    for (const auto& [name, other] : customers_)
+    {
+        for (auto longer = which + 1; longer < length_class_count; ++longer)
+        {
+            const bool waits = !other.queues[longer].empty();
+            if (waits && other.served + lead_of_shorter < customer.served)
+            {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
 /// Returns the memory of the longest-waiting huge prompt if it has waited long: it
 /// is then kept free, so that a stream of smaller prompts cannot starve it.
 std::uint64_t fair_queue::impatient_memory(time_point now) const
--- a/source/process/fair_queue.hpp
+++ b/source/process/fair_queue.hpp
@@ -6,7 +6,9 @@
 /// starts at the lowest counter of those waiting, so that idle time earns no
 /// credit and lent shares return at once; when nobody waits, all counters start
 /// anew. Each customer has one queue for each
-/// length class, so that its long prompts never delay its short ones.
+/// length class, so that its long prompts never delay its short ones. Shorter
+/// prompts go first, but beyond 4,000 tokens only up to a bounded lead over customers
+/// whose longer prompts wait.
 #pragma once
 
 #include "process/arrival_meter.hpp"
@@ -61,6 +63,7 @@
     struct customer_state
     {
         double served = 0; ///< Work served, divided by the weight.
+        std::uint32_t weight = 1;
         std::size_t waiting = 0;
         std::array<std::deque<queue_ticket>, length_class_count> queues;
         std::array<std::uint64_t, length_class_count> queued_tokens{};
@@ -72,6 +75,12 @@
     [[nodiscard]] time_point latest_start(const queue_ticket& ticket,
                                           time_point now) const;
     [[nodiscard]] double busy_share(const queue_ticket& ticket, time_point now) const;
+    [[nodiscard]] bool must_yield(const customer_state& customer,
+                                  std::size_t which) const;
+    [[nodiscard]] const customer_state* find_customer(std::string_view name) const;
+    static std::uint64_t queued_up_to(const customer_state& it, std::size_t which);
+    static std::uint32_t attempts_up_to(const customer_state& it, std::size_t which);
+    static std::uint64_t tokens_until(const customer_state& it, double counter);
     [[nodiscard]] std::uint64_t impatient_memory(time_point now) const;
     customer_map::iterator next_customer(std::size_t which, std::uint64_t kept);
     void remove_front(customer_map::iterator customer, std::size_t which);
--- a/source/process/finish_estimate.cpp
+++ b/source/process/finish_estimate.cpp
@@ -26,8 +26,9 @@
                                   std::uint64_t prompt_tokens)
 {
     const auto prefill = window.prefill_time(ahead.prefill_tokens + prompt_tokens);
-    return std::max(dispatch_window::slowed(prefill, ahead.busy_share),
-                    slot_wait(window, ahead.attempts));
+    const auto by_arrivals = dispatch_window::slowed(prefill, ahead.busy_share);
+    const auto by_turns = window.prefill_time(ahead.most_tokens + prompt_tokens);
+    return std::max(std::min(by_arrivals, by_turns), slot_wait(window, ahead.attempts));
 }
 
 std::optional<refusal> refuse_if_late(const dispatch_window& window,
--- a/source/process/finish_estimate.hpp
+++ b/source/process/finish_estimate.hpp
@@ -5,6 +5,8 @@
 #include "process/dispatch_window.hpp"
 #include "process/queue_ticket.hpp"
 
+#include <cstdint>
+#include <limits>
 #include <optional>
 
 namespace pistachiopost {
@@ -16,6 +18,8 @@
     std::uint32_t attempts = 0;
     /// Share of the engine's time that shorter prompts, which pass, will take.
     double busy_share = 0;
+    /// The most work that fair turns let pass, shorter prompts included, in tokens.
+    std::uint64_t most_tokens = std::numeric_limits<std::uint64_t>::max() / 2;
 };
 
 /// Returns the expected wait for the first token behind `ahead`.
--- a/tests/process/entry_decisions_test.cpp
+++ b/tests/process/entry_decisions_test.cpp
@@ -145,7 +145,7 @@
     int idle = 0;
     for (std::uint64_t i = 0; i < 1'000; ++i)
     {
-        idle += policy.choose(list, "", i * 7'919).vm == "idle" ? 1 : 0;
+        idle += policy.choose(list, "", i * 7'919, false).vm == "idle" ? 1 : 0;
     }
     cr_assert_gt(idle, 650);
 }
@@ -155,9 +155,9 @@
     std::vector<candidate> list{{"near", true, milliseconds{0}, 0, 1, milliseconds{0}},
                                 {"far", false, milliseconds{0}, 0, 1, milliseconds{5}}};
     two_choices policy;
-    cr_assert_eq(policy.choose(list, "", 1).vm, "near");
+    cr_assert_eq(policy.choose(list, "", 1, false).vm, "near");
     list[0].expected_wait = milliseconds{100};
-    cr_assert_eq(policy.choose(list, "", 1).vm, "far");
+    cr_assert_eq(policy.choose(list, "", 1, false).vm, "far");
 }
 
 Test(two_choices, cached_prefix_wins_unless_its_server_is_overloaded)
@@ -167,13 +167,13 @@
     two_choices policy;
     for (std::uint64_t i = 0; i < 100; ++i)
     {
-        cr_assert_eq(policy.choose(list, "cached", i).vm, "cached");
+        cr_assert_eq(policy.choose(list, "cached", i, false).vm, "cached");
     }
     list[0].expected_wait = milliseconds{5'000};
     int cached = 0;
     for (std::uint64_t i = 0; i < 100; ++i)
     {
-        cached += policy.choose(list, "cached", i * 7'919).vm == "cached" ? 1 : 0;
+        cached += policy.choose(list, "cached", i * 7'919, false).vm == "cached" ? 1 : 0;
     }
     cr_assert_lt(cached, 50);
 }
--- a/tests/process/fair_queue_test.cpp
+++ b/tests/process/fair_queue_test.cpp
@@ -204,6 +204,38 @@
     cr_assert_not(it.queue.refuses(ticket, start).has_value());
 }
 
+Test(fair_queue, flood_of_medium_prompts_does_not_starve_a_long_one_of_another)
+{
+    fair_fixture it;
+    for (int i = 0; i < 400; ++i)
+    {
+        it.push("flood", 20'000);
+    }
+    it.push("small", 60'000);
+    int served_before = 0;
+    while (it.serve() != "small")
+    {
+        ++served_before;
+    }
+    cr_assert_leq(served_before, 12);
+}
+
+Test(fair_queue, flood_of_medium_prompts_does_not_refuse_a_long_one_of_another)
+{
+    fair_fixture it;
+    for (int i = 0; i < 400; ++i)
+    {
+        it.push("flood", 20'000);
+    }
+    queue_ticket ticket;
+    ticket.customer = "small";
+    ticket.prompt_tokens = 60'000;
+    ticket.deadline = start + seconds{3};
+    cr_assert_not(it.queue.refuses(ticket, start).has_value());
+    ticket.customer = "flood";
+    cr_assert(it.queue.refuses(ticket, start).has_value());
+}
+
 Test(fair_queue, passed_deadline_is_taken_out)
 {
     fair_fixture it;
