--- a/source/connection/caller_front.hpp
+++ b/source/connection/caller_front.hpp
@@ -51,7 +51,8 @@
                    [](const auto&, auto& res) { res.set_content("ok\n", "text/plain"); });
         server.Get("/readyz", [this](const auto&, auto& res) { report_ready(res); });
         server.Get("/metrics", [this](const auto&, auto& res) {
-            res.set_content(state_.metrics.text(), "text/plain; version=0.0.4");
+            res.set_content(state_.metrics.text(state_.configurations.version()),
+                            "text/plain; version=0.0.4");
         });
         const auto call = [this](const auto& req, auto& res) { serve_call(req, res); };
         const std::string services = "/services/.*";
--- a/source/connection/engine_backend.cpp
+++ b/source/connection/engine_backend.cpp
@@ -160,6 +160,15 @@
         return http;
     }
 
+    /// Returns how long the engine may be silent before it counts as hung. Long
+    /// prompts may have to yield to others until their deadline.
+    milliseconds longest_silence(const attempt_job& job, time_point now) const
+    {
+        const auto left = ceil_milliseconds(job.deadline() - now);
+        const bool yields = is_long(classify(job.order().prompt_tokens));
+        return std::max(yields ? left : std::min(left, hang_timeout), milliseconds{1});
+    }
+
     /// Shorter prompts go first in the engine.
     static int priority(const attempt_job& job)
     {
@@ -288,8 +297,7 @@
     {
         it.learn_boot();
     }
-    const auto left = ceil_milliseconds(job.deadline() - steady::now());
-    it.client.set_read_timeout(std::max(left, milliseconds{1}));
+    it.client.set_read_timeout(it.longest_silence(job, steady::now()));
     stream_follower follower(job, on_first);
     auto http = it.make_request(job);
     http.content_receiver = [&follower](const char* data, std::size_t n, std::uint64_t,
@@ -320,10 +328,7 @@
     return why;
 }
 
-service_backend::service_backend(endpoint where, milliseconds hang_timeout)
-    : where_(std::move(where)), hang_timeout_(hang_timeout)
-{
-}
+service_backend::service_backend(endpoint where) : where_(std::move(where)) {}
 
 attempt_result service_backend::run(attempt_job& job,
                                     const first_token_callback& on_first)
--- a/source/connection/engine_backend.hpp
+++ b/source/connection/engine_backend.hpp
@@ -31,8 +31,8 @@
 class engine_backend
 {
 public:
-    /// `owner` names this run of the agent; a stream silent for `hang_timeout`
-    /// after its expected first token counts as hung.
+    /// `owner` names this run of the agent; a stream of a prompt under 32,000 tokens
+    /// that is silent for `hang_timeout` counts as hung.
     engine_backend(endpoint where, std::string owner, milliseconds hang_timeout);
     ~engine_backend();
     engine_backend(engine_backend&&) noexcept;
@@ -50,13 +50,12 @@
 class service_backend
 {
 public:
-    service_backend(endpoint where, milliseconds hang_timeout);
+    explicit service_backend(endpoint where);
     /// Runs one call to its end.
     attempt_result run(attempt_job& job, const first_token_callback& on_first);
 
 private:
     endpoint where_;
-    milliseconds hang_timeout_;
 };
 
 static_assert(backend_connection<engine_backend>);
--- a/source/connection/table_client.cpp
+++ b/source/connection/table_client.cpp
@@ -11,9 +11,6 @@
 
 constexpr std::string_view claim_rows = "claims";
 constexpr std::string_view configuration_rows = "configuration";
-constexpr int status_ok = 200;
-constexpr int status_not_found = 404;
-constexpr int status_conflict = 409;
 
 std::string_view name_of(claim_state state)
 {
@@ -122,52 +119,30 @@
 } // namespace
 
 table_client::table_client(const endpoint& where, milliseconds timeout)
-    : http_(where, timeout)
+    : rows_(where, timeout)
 {
 }
 
 std::vector<std::size_t> table_client::commit(std::span<const claim_write> writes)
 {
-    json operations = json::array();
+    auto operations = json::array();
     for (const auto& it : writes)
     {
         operations.push_back(operation(it));
     }
-    try
-    {
-        const auto answer =
-            http_.post("/transactions", json{{"operations", operations}}.dump());
-        if (answer.status == status_ok)
-        {
-            return {};
-        }
-        if (answer.status == status_conflict)
-        {
-            return json::parse(answer.body).at("failed").get<std::vector<std::size_t>>();
-        }
-        throw table_error(fmt::format("the table service answered {}", answer.status));
-    }
-    catch (const connection_error& it)
-    {
-        throw table_error(it.what());
-    }
-    catch (const json::exception& it)
-    {
-        throw table_error(std::string("the table service sent a broken answer: ") +
-                          it.what());
-    }
+    return rows_.transact(operations.dump());
 }
 
 std::optional<claim_record> table_client::find(const claim_record& wanted)
 {
-    const auto text = read_row(claim_rows, row_key(wanted));
-    if (text.empty())
+    const auto text = rows_.read(claim_rows, row_key(wanted));
+    if (!text)
     {
         return std::nullopt;
     }
     try
     {
-        return from_json(json::parse(text));
+        return from_json(json::parse(*text));
     }
     catch (const json::exception& it)
     {
@@ -177,14 +152,14 @@
 
 std::uint64_t table_client::head_version()
 {
-    const auto text = read_row(configuration_rows, "head");
-    if (text.empty())
+    const auto text = rows_.read(configuration_rows, "head");
+    if (!text)
     {
         return 0;
     }
     try
     {
-        return json::parse(text).at("version").get<std::uint64_t>();
+        return json::parse(*text).at("version").get<std::uint64_t>();
     }
     catch (const json::exception& it)
     {
@@ -194,36 +169,12 @@
 
 std::string table_client::configuration(std::uint64_t version)
 {
-    auto text = read_row(configuration_rows, fmt::format("version/{}", version));
-    if (text.empty())
+    auto text = rows_.read(configuration_rows, fmt::format("version/{}", version));
+    if (!text)
     {
         throw table_error(fmt::format("configuration version {} is missing", version));
     }
-    return text;
-}
-
-/// Returns the row's value as JSON text, or an empty text if there is no row.
-std::string table_client::read_row(std::string_view table, std::string_view key)
-{
-    try
-    {
-        auto answer =
-            http_.get(fmt::format("/rows?table={}&key={}", table, encode_component(key)));
-        if (answer.status == status_not_found)
-        {
-            return {};
-        }
-        if (answer.status != status_ok)
-        {
-            throw table_error(
-                fmt::format("the table service answered {}", answer.status));
-        }
-        return std::move(answer.body);
-    }
-    catch (const connection_error& it)
-    {
-        throw table_error(it.what());
-    }
+    return std::move(*text);
 }
 
 } // namespace pistachiopost
--- a/source/connection/table_client.hpp
+++ b/source/connection/table_client.hpp
@@ -2,7 +2,7 @@
 /// Client of the platform's table service.
 #pragma once
 
-#include "connection/http_client.hpp"
+#include "connection/table_rows.hpp"
 #include "request/claim.hpp"
 
 #include <cstdint>
@@ -32,9 +32,7 @@
     std::string configuration(std::uint64_t version);
 
 private:
-    std::string read_row(std::string_view table, std::string_view key);
-
-    http_client http_;
+    table_rows rows_;
 };
 
 static_assert(claim_table<table_client>);
--- a/source/main.cpp
+++ b/source/main.cpp
@@ -4,17 +4,29 @@
 #include "process/agent_process.hpp"
 #include "process/entry_process.hpp"
 #include "process/json_reader.hpp"
+#include "process/operator_commands.hpp"
 #include "process/settings_document.hpp"
 #include "process/task.hpp"
 
 #include <fmt/format.h>
 #include <gflags/gflags.h>
 
+#include <algorithm>
 #include <array>
+#include <chrono>
 #include <string>
 #include <string_view>
+#include <vector>
 
 DEFINE_string(settings, "", "file with the settings of this process, in JSON");
+DEFINE_string(table, "", "ADDRESS:PORT of the table service");
+DEFINE_string(vms, "", "ADDRESS:PORT of the VM list");
+DEFINE_string(entries, "", "ADDRESS:PORT of entries, separated by commas");
+DEFINE_string(operator, "", "who acts");
+DEFINE_string(reason, "", "why");
+DEFINE_bool(force, false, "allow a drain that leaves no backend server");
+DEFINE_bool(yes, false, "confirm the plan at once");
+DEFINE_string(output, "text", "text or json");
 
 namespace pistachiopost {
 namespace {
@@ -32,6 +44,18 @@
     std::string_view help;
 };
 
+constexpr std::string_view operator_help =
+    "usage: pistachiopost customer|model|service add|set NAME [FIELD=VALUE ...]\n"
+    "       pistachiopost customer|model|service remove|show NAME, or list\n"
+    "       pistachiopost backend drain|undrain VM\n"
+    "       pistachiopost plan list, or show|confirm|discard|rebase ID\n"
+    "       pistachiopost history, status\n"
+    "flags: --table=ADDRESS:PORT (always), --operator=NAME (to change), --reason=TEXT,\n"
+    "       --vms=ADDRESS:PORT (drain), --force, --yes, --entries=LIST (status),\n"
+    "       --output=text|json\n"
+    "Nothing takes effect until its plan is confirmed.\n"
+    "exit codes: 0 success, 1 failure, 2 wrong usage, 3 overtaken by another plan\n";
+
 constexpr std::array commands{
     command{"entry", "serve callers on an entry VM",
             "usage: pistachiopost entry --settings FILE\n"
@@ -42,6 +66,14 @@
     command{"check-settings", "check a settings file and start nothing",
             "usage: pistachiopost check-settings FILE\n"
             "Prints every fault with its JSON path. Exit code 0: usable, 1: not.\n"},
+    command{"customer", "customers: add, set, remove, list, show", operator_help},
+    command{"share", "shares of customers: set NAME weight=N", operator_help},
+    command{"model", "models: add, set, remove, list, show", operator_help},
+    command{"service", "plain services: add, set, remove, list, show", operator_help},
+    command{"backend", "backend servers: drain, undrain, list", operator_help},
+    command{"plan", "plans: list, show, confirm, discard, rebase", operator_help},
+    command{"history", "confirmed plans: who, when, why", operator_help},
+    command{"status", "the version in force on each entry", operator_help},
 };
 
 std::string overview()
@@ -80,8 +112,9 @@
 /// Checks flags before gflags sees them, which would exit on its own.
 std::string flag_problem(int argc, char** argv)
 {
-    constexpr std::array known{std::string_view("settings"), std::string_view("help"),
-                               std::string_view("version")};
+    using namespace std::string_view_literals;
+    constexpr std::array known{"settings"sv, "help"sv,   "table"sv, "vms"sv, "entries"sv,
+                               "operator"sv, "reason"sv, "force"sv, "yes"sv, "output"sv};
     for (int i = 2; i < argc; ++i)
     {
         std::string_view word = argv[i];
@@ -136,6 +169,33 @@
     return entry != nullptr ? run_entry(*entry) : run_agent(*agent);
 }
 
+int run_as_operator(const std::vector<std::string>& words)
+{
+    if (FLAGS_output != "text" && FLAGS_output != "json")
+    {
+        return usage_error("--output must be text or json");
+    }
+    operator_options options;
+    options.table = FLAGS_table;
+    options.vms = FLAGS_vms;
+    options.entries = FLAGS_entries;
+    options.name = FLAGS_operator;
+    options.reason = FLAGS_reason;
+    options.force = FLAGS_force;
+    options.confirm_at_once = FLAGS_yes;
+    options.json = FLAGS_output == "json";
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    try
+    {
+        return run_operator_command(words, options,
+                                    std::chrono::duration_cast<seconds>(now).count());
+    }
+    catch (const operator_error& it)
+    {
+        return usage_error(it.what());
+    }
+}
+
 int run_command(const command& chosen, int argc, char** argv)
 {
     for (int i = 2; i < argc; ++i)
@@ -156,6 +216,10 @@
         return argc == 3 ? check_settings(argv[2])
                          : usage_error("check-settings needs one FILE");
     }
+    if (is_operator_command(chosen.name))
+    {
+        return run_as_operator({argv + 1, argv + argc});
+    }
     if (argc > 2)
     {
         return usage_error(fmt::format("unexpected word {}", argv[2]));
--- a/source/process/agent_process.cpp
+++ b/source/process/agent_process.cpp
@@ -36,10 +36,8 @@
         }
         else
         {
-            lanes.emplace_back([&] {
-                run_lane(state, service_backend(settings.backend, settings.hang_timeout),
-                         steady::now);
-            });
+            lanes.emplace_back(
+                [&] { run_lane(state, service_backend(settings.backend), steady::now); });
         }
     }
     return lanes;
--- a/source/process/metrics.cpp
+++ b/source/process/metrics.cpp
@@ -79,10 +79,12 @@
     retries_ += attempts;
 }
 
-std::string entry_metrics::text() const
+std::string entry_metrics::text(std::uint64_t configuration_version) const
 {
     const std::lock_guard lock(mutex_);
-    std::string out;
+    auto out = fmt::format("# TYPE pistachiopost_configuration_version gauge\n"
+                           "pistachiopost_configuration_version {}\n",
+                           configuration_version);
     out += "# TYPE pistachiopost_first_token_seconds histogram\n";
     for (std::size_t i = 0; i < length_class_count; ++i)
     {
--- a/source/process/metrics.hpp
+++ b/source/process/metrics.hpp
@@ -57,7 +57,7 @@
     /// Counts an attempt beyond the first of a request.
     void retried(std::uint64_t attempts);
     /// Returns the text form that metric collectors read.
-    [[nodiscard]] std::string text() const;
+    [[nodiscard]] std::string text(std::uint64_t configuration_version) const;
 
 private:
     mutable std::mutex mutex_;
--- /dev/null
+++ b/source/process/operator_commands.cpp
@@ -0,0 +1,441 @@
+#include "process/operator_commands.hpp"
+
+#include "connection/plan_table.hpp"
+#include "connection/vm_list_client.hpp"
+#include "process/drain_effects.hpp"
+#include "process/json_reader.hpp"
+#include "version/configuration_document.hpp"
+#include "version/plan_document.hpp"
+
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <random>
+
+namespace pistachiopost {
+
+namespace {
+
+using namespace std::string_view_literals;
+
+constexpr milliseconds call_timeout{3'000};
+constexpr int exit_ok = 0;
+constexpr int exit_failed = 1;
+
+/// A first word and the section of the configuration that it is about.
+struct subject
+{
+    std::string_view word;
+    std::string_view section;
+};
+
+constexpr std::array subjects{subject{"customer", "customers"},
+                              subject{"share", "customers"}, subject{"model", "models"},
+                              subject{"service", "services"},
+                              subject{"backend", "drained"}};
+constexpr std::array other_words{"plan"sv, "history"sv, "status"sv};
+
+std::string_view section_of(std::string_view word)
+{
+    const auto it = std::find_if(subjects.begin(), subjects.end(),
+                                 [word](const subject& one) { return one.word == word; });
+    return it == subjects.end() ? std::string_view{} : it->section;
+}
+
+endpoint parse_endpoint(std::string_view text, std::string_view flag)
+{
+    const auto colon = text.find(':');
+    endpoint it;
+    if (colon != std::string_view::npos)
+    {
+        it.address = text.substr(0, colon);
+        const auto port = text.substr(colon + 1);
+        std::from_chars(port.data(), port.data() + port.size(), it.port);
+    }
+    if (it.address.empty() || it.port == 0)
+    {
+        throw operator_error(fmt::format("give --{}=ADDRESS:PORT", flag));
+    }
+    return it;
+}
+
+intent_field parse_field(std::string_view word)
+{
+    const auto mark = word.find('=');
+    if (mark == std::string_view::npos || mark == 0)
+    {
+        throw operator_error(fmt::format("{} is not NAME=VALUE", word));
+    }
+    return {std::string(word.substr(0, mark)), std::string(word.substr(mark + 1))};
+}
+
+std::string new_plan_id()
+{
+    std::random_device random;
+    return fmt::format("p-{:08x}", random());
+}
+
+void print_plan(const plan& it, const operator_options& options)
+{
+    if (options.json)
+    {
+        fmt::print("{}\n", format_plan(it));
+        return;
+    }
+    fmt::print("plan {} ({}), based on version {}, by {}\n  {} {} in {}\n", it.id,
+               to_string(it.state), it.base, it.author, to_string(it.wanted.action),
+               it.wanted.item, it.wanted.section);
+    for (const auto& line : it.effects)
+    {
+        fmt::print("  {}\n", line);
+    }
+    if (it.state == plan_state::confirmed)
+    {
+        fmt::print("  version {}, confirmed by {} at {}: {}\n", it.version,
+                   it.confirmed_by, it.confirmed_at, it.reason);
+    }
+}
+
+/// One operator's command.
+class operator_session
+{
+public:
+    operator_session(const operator_options& options, std::int64_t now)
+        : options_(options), now_(now),
+          store_(parse_endpoint(options.table, "table"), call_timeout)
+    {
+    }
+
+    int change(std::string_view section, std::span<const std::string> words)
+    {
+        require_name();
+        plan it;
+        it.wanted = read_intent(section, words);
+        it.id = new_plan_id();
+        it.author = options_.name;
+        work_out(it);
+        store_.add(it);
+        print_plan(it, options_);
+        if (options_.confirm_at_once)
+        {
+            return confirm(it.id);
+        }
+        if (!options_.json)
+        {
+            fmt::print("nothing has changed yet; to put it in force: plan confirm {}\n",
+                       it.id);
+        }
+        return exit_ok;
+    }
+
+    int confirm(const std::string& id)
+    {
+        require_name();
+        const auto result =
+            confirm_plan(store_, id, {options_.name, options_.reason, now_});
+        switch (result.outcome)
+        {
+        case confirm_outcome::in_force:
+            fmt::print("plan {} is in force as version {}\n", id, result.version);
+            return exit_ok;
+        case confirm_outcome::overtaken:
+            fmt::print(stderr,
+                       "plan {} was overtaken: plan {} became version {}; to apply it on "
+                       "top: plan rebase {}\n",
+                       id, result.winner.empty() ? "unknown" : result.winner,
+                       result.version, id);
+            return exit_overtaken;
+        case confirm_outcome::unknown_plan:
+            throw operator_error(fmt::format("there is no plan {}; see plan list", id));
+        case confirm_outcome::discarded:
+            throw operator_error(fmt::format("plan {} was discarded", id));
+        case confirm_outcome::unavailable:
+            break;
+        }
+        throw operator_error(
+            "the table service does not answer, so it is not known whether "
+            "the plan is in force; repeat the same command, that is safe");
+    }
+
+    /// Makes a new plan of the same intent on the newest version.
+    int rebase(const std::string& id)
+    {
+        require_name();
+        auto it = require_plan(id);
+        if (it.state == plan_state::confirmed)
+        {
+            throw operator_error(fmt::format("plan {} is in force already", id));
+        }
+        store_.discard(it);
+        it.id = new_plan_id();
+        it.state = plan_state::open;
+        it.author = options_.name;
+        work_out(it);
+        store_.add(it);
+        print_plan(it, options_);
+        return exit_ok;
+    }
+
+    int discard(const std::string& id)
+    {
+        const auto it = require_plan(id);
+        if (!store_.discard(it))
+        {
+            throw operator_error(fmt::format("plan {} is not open", id));
+        }
+        fmt::print("plan {} is discarded\n", id);
+        return exit_ok;
+    }
+
+    int show_plan(const std::string& id)
+    {
+        print_plan(require_plan(id), options_);
+        return exit_ok;
+    }
+
+    int list_plans(bool confirmed_only)
+    {
+        for (const auto& id : store_.newest())
+        {
+            const auto it = store_.find(id);
+            if (it && (!confirmed_only || it->state == plan_state::confirmed))
+            {
+                print_plan(*it, options_);
+            }
+        }
+        return exit_ok;
+    }
+
+    int show_items(std::string_view section, const std::string& item)
+    {
+        const auto text =
+            describe_section(store_.document(store_.head().version), section, item);
+        if (text.empty() && !item.empty())
+        {
+            throw operator_error(fmt::format("{} is not in {}", item, section));
+        }
+        fmt::print("{}", text);
+        return exit_ok;
+    }
+
+    /// Prints the version at the head and the one in force on each entry.
+    int status()
+    {
+        const auto head = store_.head();
+        fmt::print("newest version: {} (plan {})\n", head.version,
+                   head.plan_id.empty() ? "none" : head.plan_id);
+        bool all_there = true;
+        std::string_view rest = options_.entries;
+        while (!rest.empty())
+        {
+            const auto one = rest.substr(0, rest.find(','));
+            rest.remove_prefix(std::min(rest.size(), one.size() + 1));
+            all_there = print_entry(one, head.version) && all_there;
+        }
+        return all_there ? exit_ok : exit_failed;
+    }
+
+private:
+    static constexpr std::string_view version_metric =
+        "\npistachiopost_configuration_version ";
+
+    bool print_entry(std::string_view where, std::uint64_t newest)
+    {
+        try
+        {
+            const auto text = http_client(parse_endpoint(where, "entries"), call_timeout)
+                                  .get("/metrics")
+                                  .body;
+            const auto at = text.find(version_metric);
+            std::uint64_t version = 0;
+            if (at != std::string::npos)
+            {
+                const auto* first = text.data() + at + version_metric.size();
+                std::from_chars(first, text.data() + text.size(), version);
+            }
+            fmt::print("{}: version {}{}\n", where, version,
+                       version < newest ? ", lags behind" : "");
+            return version >= newest;
+        }
+        catch (const connection_error& it)
+        {
+            fmt::print("{}: does not answer: {}\n", where, it.what());
+            return false;
+        }
+    }
+
+    void require_name() const
+    {
+        if (options_.name.empty())
+        {
+            throw operator_error("say who you are: --operator=NAME");
+        }
+    }
+
+    plan require_plan(const std::string& id)
+    {
+        auto it = store_.find(id);
+        if (!it)
+        {
+            throw operator_error(fmt::format("there is no plan {}; see plan list", id));
+        }
+        return std::move(*it);
+    }
+
+    static intent read_intent(std::string_view section,
+                              std::span<const std::string> words)
+    {
+        constexpr std::array verbs{"add"sv, "set"sv, "remove"sv, "drain"sv, "undrain"sv};
+        intent it;
+        it.section = section;
+        const auto& verb = words[1];
+        const bool drains = section == "drained";
+        if (verb == (drains ? "drain" : "add"))
+        {
+            it.action = intent_action::add;
+        }
+        else if (verb == (drains ? "undrain" : "remove"))
+        {
+            it.action = intent_action::remove;
+        }
+        else if (!drains && verb == "set")
+        {
+            it.action = intent_action::set;
+        }
+        else
+        {
+            const auto near = nearest_match(verb, verbs);
+            throw operator_error(
+                fmt::format("{} cannot {}{}", words[0], verb,
+                            near.empty() ? "" : fmt::format("; did you mean {}?", near)));
+        }
+        if (words.size() < 3)
+        {
+            throw operator_error(fmt::format("{} {} needs a name", words[0], verb));
+        }
+        it.item = words[2];
+        for (const auto& word : words.subspan(3))
+        {
+            it.fields.push_back(parse_field(word));
+        }
+        return it;
+    }
+
+    /// Bases the plan on the newest version and states its effects.
+    void work_out(plan& it)
+    {
+        it.base = store_.head().version;
+        const auto document = store_.document(it.base);
+        apply_intent(document, it.wanted, it.base + 1); // refuses what cannot apply
+        it.effects = describe_shares(document, it.wanted);
+        const bool drains =
+            it.wanted.section == "drained" && it.wanted.action == intent_action::add;
+        if (drains)
+        {
+            it.effects = drain_lines(it.wanted.item, document);
+        }
+    }
+
+    std::vector<std::string> drain_lines(const std::string& vm,
+                                         const std::string& document)
+    {
+        vm_list_client list(parse_endpoint(options_.vms, "vms"), call_timeout);
+        const auto servers = list.fetch();
+        const auto version = parse_configuration(document);
+        const auto effects = work_out_drain(
+            servers ? *servers : std::vector<backend_server>{}, version->drained(), vm);
+        if (!effects)
+        {
+            throw operator_error(fmt::format("the VM list has no backend server {}", vm));
+        }
+        if (effects->after == 0 && !(options_.force && !options_.reason.empty()))
+        {
+            throw operator_error(fmt::format("{} is the last backend server for {}; to "
+                                             "drain it all the same give --force "
+                                             "and --reason=TEXT",
+                                             vm, effects->serves));
+        }
+        return effects->lines();
+    }
+
+    const operator_options& options_;
+    std::int64_t now_;
+    plan_table store_;
+};
+
+int run_plan_command(operator_session& session, std::span<const std::string> words)
+{
+    const auto verb = words.size() > 1 ? words[1] : std::string();
+    if (verb == "list")
+    {
+        return session.list_plans(false);
+    }
+    if (words.size() != 3)
+    {
+        throw operator_error("usage: plan list | plan show|confirm|discard|rebase ID");
+    }
+    if (verb == "show")
+    {
+        return session.show_plan(words[2]);
+    }
+    if (verb == "confirm")
+    {
+        return session.confirm(words[2]);
+    }
+    if (verb == "discard")
+    {
+        return session.discard(words[2]);
+    }
+    if (verb == "rebase")
+    {
+        return session.rebase(words[2]);
+    }
+    throw operator_error(fmt::format("plan cannot {}; see plan --help", verb));
+}
+
+} // namespace
+
+bool is_operator_command(std::string_view word)
+{
+    return !section_of(word).empty() ||
+           std::find(other_words.begin(), other_words.end(), word) != other_words.end();
+}
+
+int run_operator_command(std::span<const std::string> words,
+                         const operator_options& options, std::int64_t now)
+{
+    operator_session session(options, now);
+    if (words[0] == "plan")
+    {
+        return run_plan_command(session, words);
+    }
+    if (words[0] == "history")
+    {
+        return session.list_plans(true);
+    }
+    if (words[0] == "status")
+    {
+        return session.status();
+    }
+    const auto section = section_of(words[0]);
+    const auto verb = words.size() > 1 ? words[1] : std::string();
+    if (verb == "list")
+    {
+        return session.show_items(section, "");
+    }
+    if (verb == "show" && words.size() == 3)
+    {
+        return session.show_items(section, words[2]);
+    }
+    if (words.size() < 2)
+    {
+        throw operator_error(
+            fmt::format("usage: {} add|set|remove|list|show ...", words[0]));
+    }
+    return session.change(section, words);
+}
+
+} // namespace pistachiopost
--- a/tests/standins/caller.hpp
+++ b/tests/standins/caller.hpp
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include <array>
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -52,6 +53,8 @@
 
 /// Makes one call and waits for its end.
 outcome make_call(const call& it);
+/// Makes one call whose times count from `start`.
+outcome make_call_from(const call& it, std::chrono::steady_clock::time_point start);
 
 /// Returns a prompt of `tokens` tokens that depends on `seed` alone.
 std::string make_prompt(std::uint64_t tokens, std::uint64_t seed);
--- a/tests/standins/fleet.cpp
+++ b/tests/standins/fleet.cpp
@@ -8,8 +8,11 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <array>
 #include <chrono>
 #include <csignal>
+#include <cstdio>
+#include <ctime>
 #include <fstream>
 #include <thread>
 
@@ -56,7 +59,15 @@
 
 json ask(const endpoint& where, std::string_view path)
 {
-    return json::parse(http_client(where, call_timeout).get(path).body, nullptr, false);
+    try
+    {
+        return json::parse(http_client(where, call_timeout).get(path).body, nullptr,
+                           false);
+    }
+    catch (const connection_error&)
+    {
+        return nullptr;
+    }
 }
 
 void tell(const endpoint& where, std::string_view path, const json& body)
@@ -197,6 +208,40 @@
     return WIFEXITED(status) ? WEXITSTATUS(status) : 128;
 }
 
+bool fleet::has_died(const std::string& name)
+{
+    auto& it = processes_.at(name);
+    if (it.pid == 0 || ::waitpid(it.pid, nullptr, WNOHANG) != it.pid)
+    {
+        return false;
+    }
+    it.pid = 0;
+    return true;
+}
+
+int fleet::run_operator(const std::vector<std::string>& words, std::string& output)
+{
+    std::string entries;
+    for (const auto& name : names("entry"))
+    {
+        entries += (entries.empty() ? "" : ",") + to_string(where(name));
+    }
+    auto line = product_.string();
+    for (const auto& word : words)
+    {
+        line += " '" + word + "'";
+    }
+    line += fmt::format(" --table={} --vms={} --entries={} 2>&1",
+                        to_string(where("table")), to_string(where("vms")), entries);
+    FILE* pipe = ::popen(line.c_str(), "r");
+    std::array<char, 1'024> buf{};
+    while (const auto n = std::fread(buf.data(), 1, buf.size(), pipe))
+    {
+        output.append(buf.data(), n);
+    }
+    return WEXITSTATUS(::pclose(pipe));
+}
+
 void fleet::publish_vms(const std::vector<std::string>& leaving)
 {
     auto list = vms_;
@@ -250,20 +295,19 @@
 std::pair<double, long> fleet::usage(const std::string& name) const
 {
     const auto pid = processes_.at(name).pid;
-    std::ifstream stat(fmt::format("/proc/{}/stat", pid));
-    std::string skip;
-    for (int i = 0; i < 13; ++i)
+    clockid_t clock{};
+    timespec spent{};
+    if (::clock_getcpuclockid(pid, &clock) == 0)
     {
-        stat >> skip;
+        ::clock_gettime(clock, &spent);
     }
-    long user = 0;
-    long system = 0;
-    stat >> user >> system;
     std::ifstream memory(fmt::format("/proc/{}/statm", pid));
+    std::string skip;
     long pages = 0;
     memory >> skip >> pages;
-    return {static_cast<double>(user + system) /
-                static_cast<double>(::sysconf(_SC_CLK_TCK)),
+    constexpr double nanoseconds = 1e9;
+    return {static_cast<double>(spent.tv_sec) +
+                static_cast<double>(spent.tv_nsec) / nanoseconds,
             pages * (::sysconf(_SC_PAGESIZE) / 1'024)};
 }
 
--- a/tests/standins/fleet.hpp
+++ b/tests/standins/fleet.hpp
@@ -40,6 +40,11 @@
     void signal(const std::string& name, int number);
     /// Waits for the end of a process; returns its exit code.
     int wait_exit(const std::string& name);
+    /// Returns whether a process started here has ended by itself; if so it is gone.
+    bool has_died(const std::string& name);
+    /// Runs an operator's command; returns its exit code and puts its output into
+    /// `output`.
+    int run_operator(const std::vector<std::string>& words, std::string& output);
     /// Publishes the VM list; VMs in `leaving` are marked so.
     void publish_vms(const std::vector<std::string>& leaving);
     /// Confirms a new configuration version with these drained VMs.
@@ -83,8 +88,9 @@
     std::uint64_t version_ = 0;
 };
 
-/// Sends JSON to a stand-in or reads from it. Throws connection_error.
+/// Reads JSON from a stand-in; null if it does not answer.
 nlohmann::json ask(const endpoint& where, std::string_view path);
+/// Sends JSON to a stand-in, whether or not it answers.
 void tell(const endpoint& where, std::string_view path, const nlohmann::json& body);
 
 } // namespace pistachiopost::standins
--- a/tests/standins/main.cpp
+++ b/tests/standins/main.cpp
@@ -5,8 +5,10 @@
 #include "process/task.hpp"
 #include "standins/bench.hpp"
 #include "standins/engine.hpp"
+#include "standins/fault_run.hpp"
 #include "standins/platform.hpp"
 #include "standins/scenario.hpp"
+#include "standins/slopes.hpp"
 
 #include <fmt/format.h>
 #include <gflags/gflags.h>
@@ -128,6 +130,25 @@
         return run_scenario(argv[2],
                             std::filesystem::read_symlink("/proc/self/exe").string());
     }
+    if (command == "slopes")
+    {
+        slopes_options options;
+        options.product = FLAGS_product;
+        options.standins = std::filesystem::read_symlink("/proc/self/exe");
+        options.work = FLAGS_work;
+        options.result_file = FLAGS_result;
+        options.seconds = FLAGS_seconds;
+        return run_slopes(options);
+    }
+    if (command == "faults")
+    {
+        fault_run_options options;
+        options.product = FLAGS_product;
+        options.standins = std::filesystem::read_symlink("/proc/self/exe");
+        options.work = FLAGS_work;
+        options.seed = FLAGS_seed;
+        return run_faults(options);
+    }
     if (command == "bench")
     {
         bench_options options;
@@ -142,7 +163,8 @@
         return run_bench(options);
     }
     fmt::print(stderr,
-               "usage: standins bench|engine|table|vms|service|scenario FILE [FLAGS]\n");
+               "usage: standins bench|faults|slopes|engine|table|vms|service|scenario "
+               "FILE [FLAGS]\n");
     return 2;
 }
 
@@ -154,7 +176,7 @@
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     std::signal(SIGPIPE, SIG_IGN);
     const std::string command = argc > 1 ? argv[1] : "";
-    if (command == "scenario" || command == "bench")
+    if (command == "scenario" || command == "bench" || command == "faults")
     {
         pistachiopost::block_stop_signals();
     }
--- a/tests/standins/scenario.cpp
+++ b/tests/standins/scenario.cpp
@@ -58,6 +58,32 @@
         [field](std::uint64_t sum, const class_result& row) { return sum + row.*field; });
 }
 
+/// Returns what an address answers, or nothing if it does not.
+std::string text_at(const endpoint& where, std::string_view path)
+{
+    try
+    {
+        return http_client(where, probe_timeout).get(path).body;
+    }
+    catch (const connection_error&)
+    {
+        return {};
+    }
+}
+
+/// Returns whether the part of `document` that a condition points at is as it says.
+bool holds(const json& condition, const json& document)
+{
+    const json::json_pointer pointer(condition.value("pointer", ""));
+    const auto seen = document.contains(pointer) ? document[pointer] : json(nullptr);
+    const bool size_ok = !condition.contains("size") || seen.size() == condition["size"];
+    const bool least_ok =
+        !condition.contains("at_least") ||
+        (seen.is_number() && seen.get<double>() >= condition["at_least"].get<double>());
+    return size_ok && least_ok &&
+           (!condition.contains("equals") || seen == condition["equals"]);
+}
+
 } // namespace
 
 scenario::scenario(fleet& processes, std::uint64_t seed) : fleet_(processes), seed_(seed)
@@ -85,6 +111,7 @@
     const std::map<std::string, std::function<void(const json&)>> verbs{
         {"wait_ready", [this](const json&) { wait_ready(); }},
         {"send", [this](const json& it) { send(it); }},
+        {"operate", [this](const json& it) { operate(it); }},
         {"raw", [this](const json& it) { send_raw(it); }},
         {"expect", [this](const json& it) { expect(it); }},
         {"load", [this](const json& it) { start_load(it); }},
@@ -164,6 +191,32 @@
     require(!it.contains("answer") || it["answer"] == got.detail, "got " + describe(got));
 }
 
+/// Runs an operator's command. A word "@NAME" stands for the plan that an earlier
+/// step kept under that name.
+void scenario::operate(const json& it)
+{
+    auto words = it.at("words").get<std::vector<std::string>>();
+    for (auto& word : words)
+    {
+        if (word.starts_with('@'))
+        {
+            word = plans_.at(word.substr(1));
+        }
+    }
+    std::string output;
+    const int code = fleet_.run_operator(words, output);
+    require(code == it.value("exit", 0), fmt::format("exit code {}: {}", code, output));
+    for (const auto& part : it.value("output_has", std::vector<std::string>{}))
+    {
+        require(output.find(part) != std::string::npos,
+                "no \"" + part + "\" in: " + output);
+    }
+    if (it.contains("keep_plan"))
+    {
+        plans_[it["keep_plan"]] = output.substr(output.find("p-"), 10);
+    }
+}
+
 /// Sends bytes as they are, closes the sending side if asked, and compares the
 /// start of the answer.
 void scenario::send_raw(const json& it)
@@ -235,50 +288,24 @@
 {
     const auto where = fleet_.where(it.at("at"));
     const auto path = it.at("get").get<std::string>();
-    const json::json_pointer pointer(it.value("pointer", ""));
-    json last;
-    wait_for(
-        [&] {
-            try
-            {
-                last = ask(where, path);
-                last = last.contains(pointer) ? last[pointer] : json(nullptr);
-            }
-            catch (const connection_error&)
-            {
-                return false;
-            }
-            const bool size_ok = !it.contains("size") || last.size() == it["size"];
-            const bool least_ok =
-                !it.contains("at_least") ||
-                (last.is_number() && last.get<double>() >= it["at_least"].get<double>());
-            return size_ok && least_ok &&
-                   (!it.contains("equals") || last == it["equals"]);
-        },
-        it.dump());
+    if (it.contains("text_has"))
+    {
+        const auto wanted = it["text_has"].get<std::string>();
+        wait_for([&] { return text_at(where, path).find(wanted) != std::string::npos; },
+                 it.dump());
+        return;
+    }
+    wait_for([&] { return holds(it, ask(where, path)); }, it.dump());
 }
 
 /// Waits until every entry has links to as many agents as the fleet has.
 void scenario::wait_ready()
 {
+    const auto wanted = fmt::format("ready, {} agents\n", fleet_.names("agent").size());
     for (const auto& name : fleet_.names("entry"))
     {
-        wait_for(
-            [&] {
-                try
-                {
-                    const auto answer =
-                        http_client(fleet_.where(name), probe_timeout).get("/readyz");
-                    const auto agents = fleet_.names("agent").size();
-                    return answer.status == 200 &&
-                           answer.body == fmt::format("ready, {} agents\n", agents);
-                }
-                catch (const connection_error&)
-                {
-                    return false;
-                }
-            },
-            name + " is ready");
+        wait_for([&] { return text_at(fleet_.where(name), "/readyz") == wanted; },
+                 name + " is ready");
     }
 }
 
@@ -290,7 +317,8 @@
         wait_for(
             [&] {
                 const auto state = ask(fleet_.where(name), "/v1/state");
-                return state.at("memory_used") == 0 && state.at("streams").empty();
+                return state.is_object() && state.at("memory_used") == 0 &&
+                       state.at("streams").empty();
             },
             name + " holds no memory");
     }
--- a/tests/standins/scenario.hpp
+++ b/tests/standins/scenario.hpp
@@ -40,6 +40,7 @@
     void start_load(const nlohmann::json& it);
     void finish_load(const nlohmann::json& it);
     void send_raw(const nlohmann::json& it);
+    void operate(const nlohmann::json& it);
     void until(const nlohmann::json& it);
     void wait_ready();
     void wait_released();
@@ -47,6 +48,7 @@
     fleet& fleet_;
     std::uint64_t seed_;
     std::map<std::string, std::future<outcome>> calls_;
+    std::map<std::string, std::string> plans_; ///< Plan identifiers by name.
     std::future<load_result> running_load_;
     std::optional<load_result> load_;
 };
