--- a/source/connection/engine_backend.cpp
+++ b/source/connection/engine_backend.cpp
@@ -20,6 +20,8 @@
 constexpr milliseconds connect_timeout{500};
 constexpr milliseconds probe_timeout{500};
 constexpr int status_ok = 200;
+constexpr int status_too_large = 413;
+constexpr int status_unavailable = 503;
 
 refusal failed(refusal_reason reason, run_state state, std::string detail)
 {
@@ -200,6 +202,18 @@
                       "the reservation ended");
     }
 
+    /// Judges an answer with another status than 200. An engine that refuses a
+    /// request has not run it; one that fails inside may have.
+    static refusal explain_status(int status)
+    {
+        const bool refused =
+            (status >= 400 && status < 500) || status == status_unavailable;
+        return failed(status == status_too_large ? refusal_reason::too_large
+                                                 : refusal_reason::backend_failed,
+                      refused ? run_state::not_run : run_state::ran,
+                      fmt::format("the engine answered with status {}", status));
+    }
+
     /// Judges a stream that broke without a fault of its own.
     refusal explain_break(const attempt_job& job, const stream_follower& follower,
                           httplib::Error error, time_point now)
@@ -313,10 +327,7 @@
     }
     if (answer && answer->status != status_ok)
     {
-        return failed(answer->status == 413 ? refusal_reason::too_large
-                                            : refusal_reason::backend_failed,
-                      run_state::not_run,
-                      fmt::format("the engine refused with status {}", answer->status));
+        return it.explain_status(answer->status);
     }
     it.release(job);
     if (follower.fault())
--- a/source/process/platform_watch.hpp
+++ b/source/process/platform_watch.hpp
@@ -93,8 +93,9 @@
             if (const auto list = source.fetch())
             {
                 state.directory.set_list(*list);
-                links.set_servers(
-                    choose_subset(*list, self.vm, self.zone, state.settings.subset_size));
+                const auto size = links_per_target(*list, state.settings.subset_size,
+                                                   state.settings.max_links);
+                links.set_servers(choose_subset(*list, self.vm, self.zone, size));
             }
         }
         catch (const connection_error& it)
--- a/source/process/settings.hpp
+++ b/source/process/settings.hpp
@@ -53,6 +53,7 @@
     milliseconds poll_interval{1'000};
     choice_policy choice = choice_policy::two_choices;
     std::uint32_t subset_size = 24; ///< Backend servers linked, for each target.
+    std::uint32_t max_links = 120;  ///< Links in all, whatever the number of targets.
     double short_share = 0.125;     ///< Backend servers kept for short prompts.
     double retry_share = 0.1;
     retry_limits retries;
@@ -65,8 +66,7 @@
     endpoint listen;
     endpoint backend;
     work_kind kind = work_kind::completion;
-    std::string serves;         ///< Model or service name.
-    bool checks_fencing = true; ///< The backend server refuses old fencing numbers.
+    std::string serves; ///< Model or service name.
     queue_policy queue = queue_policy::fair;
     dispatch_limits limits;
     std::uint64_t max_body_bytes = 64U << 20U; ///< Bodies held in memory at once.
--- a/source/process/settings_document.cpp
+++ b/source/process/settings_document.cpp
@@ -82,6 +82,8 @@
     it.choice = static_cast<choice_policy>(in.one_of("choice", choice_names, 0));
     it.subset_size =
         static_cast<std::uint32_t>(in.integer("subset_size", {1, 1'000}, it.subset_size));
+    it.max_links =
+        static_cast<std::uint32_t>(in.integer("max_links", {2, 2'000}, it.max_links));
     it.short_share = in.number("short_share", {0, 0.5}, it.short_share);
     it.retry_share = in.number("retry_share", share_range, it.retry_share);
     it.retries.max_attempts = static_cast<std::uint32_t>(
@@ -108,7 +110,6 @@
     it.backend.port = static_cast<std::uint16_t>(in.integer("port", {1, 65'535}));
     it.kind = static_cast<work_kind>(in.one_of("kind", kind_names));
     it.serves = in.text("serves");
-    it.checks_fencing = in.flag("checks_fencing", it.checks_fencing);
     it.limits.slots =
         static_cast<std::uint32_t>(in.integer("slots", {1, 1'024}, it.limits.slots));
     it.limits.memory_tokens =
--- a/source/process/subset.cpp
+++ b/source/process/subset.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <utility>
 
 namespace pistachiopost {
@@ -32,6 +33,19 @@
 
 } // namespace
 
+std::size_t links_per_target(std::span<const backend_server> list, std::size_t wanted,
+                             std::size_t max_links)
+{
+    constexpr std::size_t least = 2; // a choice, and one left when the other fails
+    std::set<std::string_view> targets;
+    for (const auto& it : list)
+    {
+        targets.insert(it.serves);
+    }
+    const auto share = max_links / std::max<std::size_t>(targets.size(), 1);
+    return std::max(std::min(wanted, share), least);
+}
+
 std::vector<backend_server> choose_subset(std::span<const backend_server> list,
                                           std::string_view entry_vm,
                                           std::string_view zone, std::size_t size)
--- a/source/request/serve_attempts.hpp
+++ b/source/request/serve_attempts.hpp
@@ -178,7 +178,8 @@
     }
 }
 
-/// What a reservation at one member is waiting for.
+/// Waits until a member of a group holds its part; returns the place of the memory,
+/// or why there is none.
 template <answer_receiver Caller>
 std::variant<std::string, refusal> await_reservation(const request& req, mailbox& events,
                                                      Caller& caller)
--- a/tests/process/entry_decisions_test.cpp
+++ b/tests/process/entry_decisions_test.cpp
@@ -188,6 +188,29 @@
     cr_assert_eq(near, 18);
 }
 
+Test(links_per_target, thirty_models_share_the_links_of_one_entry)
+{
+    auto servers = make_servers(600);
+    for (std::size_t i = 0; i < servers.size(); ++i)
+    {
+        servers[i].serves = fmt::format("model-{}", i % 30);
+    }
+    const auto size = links_per_target(servers, 24, 120);
+    cr_assert_eq(size, 4U);
+    cr_assert_eq(choose_subset(servers, "entry-1", "tamarin", size).size(), 120U);
+}
+
+Test(links_per_target, few_models_get_what_is_wanted_and_many_at_least_two)
+{
+    auto servers = make_servers(300);
+    cr_assert_eq(links_per_target(servers, 24, 120), 24U);
+    for (std::size_t i = 0; i < servers.size(); ++i)
+    {
+        servers[i].serves = fmt::format("model-{}", i);
+    }
+    cr_assert_eq(links_per_target(servers, 24, 120), 2U);
+}
+
 Test(choose_subset, small_fleet_is_linked_whole)
 {
     const auto servers = make_servers(16);
--- a/tests/process/settings_test.cpp
+++ b/tests/process/settings_test.cpp
@@ -27,6 +27,7 @@
         return {it.faults().begin(), it.faults().end()};
     }
     cr_assert_fail("the settings were taken");
+    return {};
 }
 
 bool has(const std::vector<settings_fault>& faults, std::string_view path,
