--- a/tests/standins/scenario.cpp
+++ b/tests/standins/scenario.cpp
@@ -209,7 +209,7 @@
     for (const auto& part : it.value("output_has", std::vector<std::string>{}))
     {
         require(output.find(part) != std::string::npos,
-                "no \"" + part + "\" in: " + output);
+                fmt::format("no \"{}\" in: {}", part, output));
     }
     if (it.contains("keep_plan"))
     {
