Read bodies as they are, whatever their media type

Cause: curl's default media type is a form, which httplib takes apart and bounds at 8 kB: a prompt of 900,000 tokens sent with plain curl got 413. Change: handlers read the body themselves; the reader owns it, which also ends a const_cast; multipart bodies are refused clearly.

--- a/source/connection/caller_front.hpp
+++ b/source/connection/caller_front.hpp
@@ -40,9 +40,10 @@
     caller_front(entry_state& state, Service& service, http_server& server)
         : state_(state), service_(service)
     {
-        const auto complete = [this](const auto& req, auto& res) {
-            serve_completion(req, res);
-        };
+        const auto complete =
+            with_body([this](const auto& req, auto& res, std::string body) {
+                serve_completion(req, res, std::move(body));
+            });
         server.Post("/v1/completions", complete);
         server.Post("/v1/chat/completions", complete);
         server.Get("/v1/models",
@@ -54,9 +55,12 @@
             res.set_content(state_.metrics.text(state_.configurations.version()),
                             "text/plain; version=0.0.4");
         });
-        const auto call = [this](const auto& req, auto& res) { serve_call(req, res); };
+        const auto call = with_body([this](const auto& req, auto& res, std::string body) {
+            serve_call(req, res, std::move(body));
+        });
         const std::string services = "/services/.*";
-        server.Get(services, call);
+        server.Get(services,
+                   [this](const auto& req, auto& res) { serve_call(req, res, {}); });
         server.Post(services, call);
         server.Put(services, call);
         server.Patch(services, call);
@@ -65,12 +69,39 @@
     }
 
 private:
-    void serve_completion(const httplib::Request& http, httplib::Response& res)
+    /// Returns a handler that reads the body as it is, whatever its media type says:
+    /// httplib would take a form apart and bound it at 8 kB.
+    template <typename Handler>
+    static auto with_body(Handler handler)
+    {
+        return [handler](const httplib::Request& http, httplib::Response& res,
+                         const httplib::ContentReader& read) {
+            if (http.is_multipart_form_data())
+            {
+                send_refusal(res,
+                             {refusal_reason::bad_request, run_state::not_run,
+                              "multipart bodies are not passed on", milliseconds{0}});
+                return;
+            }
+            std::string body;
+            const bool whole = read([&body](const char* data, std::size_t n) {
+                body.append(data, n);
+                return true;
+            });
+            if (whole)
+            {
+                handler(http, res, std::move(body));
+            }
+        };
+    }
+
+    void serve_completion(const httplib::Request& http, httplib::Response& res,
+                          std::string body)
     {
         const auto received = steady::now();
         try
         {
-            const caller_request_reader reader(state_, http, received);
+            caller_request_reader reader(state_, http, std::move(body), received);
             const auto decoded = reader.completion(state_.ids.next());
             auto& connection = http_connection::current();
             const stream_labels labels{decoded.value.id, decoded.value.target,
@@ -101,12 +132,13 @@
         }
     }
 
-    void serve_call(const httplib::Request& http, httplib::Response& res)
+    void serve_call(const httplib::Request& http, httplib::Response& res,
+                    std::string body)
     {
         const auto received = steady::now();
         try
         {
-            const caller_request_reader reader(state_, http, received);
+            caller_request_reader reader(state_, http, std::move(body), received);
             const auto req = reader.call(state_.ids.next());
             whole_receiver receiver(http_connection::current());
             const auto result = serve(req, receiver, received);
@@ -190,7 +222,7 @@
     {
         try
         {
-            const caller_request_reader reader(state_, http, steady::now());
+            const caller_request_reader reader(state_, http, {}, steady::now());
             res.set_content(reader.models_json(), "application/json");
         }
         catch (const refused_request& it)
--- a/source/connection/caller_request.cpp
+++ b/source/connection/caller_request.cpp
@@ -30,18 +30,13 @@
                        [](char c) { return c >= 0x20 && c < 0x7F; });
 }
 
-/// Takes the body out of the request without a copy. httplib hands handlers a
-/// const request that it neither reads again nor shares.
-std::string take_body(const httplib::Request& http)
-{
-    return std::move(const_cast<httplib::Request&>(http).body);
-}
-
 } // namespace
 
 caller_request_reader::caller_request_reader(const entry_state& state,
-                                             const httplib::Request& http, time_point now)
-    : state_(state), http_(http), now_(now), version_(state.configurations.current())
+                                             const httplib::Request& http,
+                                             std::string body, time_point now)
+    : state_(state), http_(http), body_(std::move(body)), now_(now),
+      version_(state.configurations.current())
 {
     if (!version_)
     {
@@ -61,14 +56,14 @@
     }
 }
 
-decoded_completion caller_request_reader::completion(std::string_view id) const
+decoded_completion caller_request_reader::completion(std::string_view id)
 {
     decoded_completion result;
     result.chat = http_.path == "/v1/chat/completions";
     completion_body body;
     try
     {
-        body = parse_completion_body(http_.body, result.chat);
+        body = parse_completion_body(body_, result.chat);
     }
     catch (const body_error& it)
     {
@@ -95,11 +90,10 @@
                fmt::format("max_tokens is {}, {} allows {}", body.max_tokens, model->name,
                            model->max_output_tokens));
     }
-    const auto shared = std::make_shared<const std::string>(take_body(http_));
     result.value = request_builder(id)
                        .customer(customer_->name, customer_->weight)
-                       .completion(model->name, http_.path, shared, tokens, body.prefix,
-                                   body.max_tokens)
+                       .completion(model->name, http_.path, share_body(), tokens,
+                                   body.prefix, body.max_tokens)
                        .repeatable(!marked_not_repeatable())
                        .idempotency_key(idempotency_key())
                        .deadline(deadline())
@@ -108,7 +102,7 @@
     return result;
 }
 
-request caller_request_reader::call(std::string_view id) const
+request caller_request_reader::call(std::string_view id)
 {
     constexpr std::string_view prefix = "/services/";
     const auto rest = std::string_view(http_.target).substr(prefix.size());
@@ -136,7 +130,7 @@
     }
     return request_builder(id)
         .customer(customer_->name, customer_->weight)
-        .service(name, http_.method, path.empty() ? "/" : path, body())
+        .service(name, http_.method, path.empty() ? "/" : path, share_body())
         .content_type(type.empty() ? "application/octet-stream" : type)
         .repeatable(repeatable)
         .idempotency_key(key)
@@ -196,9 +190,9 @@
     return key;
 }
 
-std::shared_ptr<const std::string> caller_request_reader::body() const
+std::shared_ptr<const std::string> caller_request_reader::share_body()
 {
-    return std::make_shared<const std::string>(take_body(http_));
+    return std::make_shared<const std::string>(std::move(body_));
 }
 
 } // namespace pistachiopost
--- a/source/connection/caller_request.hpp
+++ b/source/connection/caller_request.hpp
@@ -43,14 +43,15 @@
 class caller_request_reader
 {
 public:
-    /// Authenticates the caller under the configuration version in force.
+    /// Authenticates the caller under the configuration version in force. Takes over
+    /// the body.
     caller_request_reader(const entry_state& state, const httplib::Request& http,
-                          time_point now);
+                          std::string body, time_point now);
 
     /// Returns a prompt for a model.
-    [[nodiscard]] decoded_completion completion(std::string_view id) const;
+    [[nodiscard]] decoded_completion completion(std::string_view id);
     /// Returns a call of a plain service.
-    [[nodiscard]] request call(std::string_view id) const;
+    [[nodiscard]] request call(std::string_view id);
     /// Returns the list of models as JSON.
     [[nodiscard]] std::string models_json() const;
 
@@ -58,10 +59,11 @@
     [[nodiscard]] time_point deadline() const;
     [[nodiscard]] bool marked_not_repeatable() const;
     [[nodiscard]] std::string idempotency_key() const;
-    [[nodiscard]] std::shared_ptr<const std::string> body() const;
+    [[nodiscard]] std::shared_ptr<const std::string> share_body();
 
     const entry_state& state_;
     const httplib::Request& http_;
+    std::string body_;
     time_point now_;
     std::shared_ptr<const configuration> version_;
     const customer* customer_ = nullptr;
