--- a/tests/standins/caller.cpp
+++ b/tests/standins/caller.cpp
@@ -21,11 +21,6 @@
 using nlohmann::json;
 using clock = std::chrono::steady_clock;
 
-double milliseconds_since(clock::time_point start)
-{
-    return std::chrono::duration<double, std::milli>(clock::now() - start).count();
-}
-
 std::string body_of(const call& it)
 {
     if (it.model.empty())
@@ -172,6 +167,11 @@
 
 } // namespace
 
+double milliseconds_since(clock::time_point start)
+{
+    return std::chrono::duration<double, std::milli>(clock::now() - start).count();
+}
+
 outcome make_call_from(const call& it, std::chrono::steady_clock::time_point start)
 {
     outcome result;
--- a/tests/standins/caller.hpp
+++ b/tests/standins/caller.hpp
@@ -51,6 +51,9 @@
     [[nodiscard]] std::string_view kind() const;
 };
 
+/// Returns the milliseconds passed since `start`.
+double milliseconds_since(std::chrono::steady_clock::time_point start);
+
 /// Makes one call and waits for its end.
 outcome make_call(const call& it);
 /// Makes one call whose times count from `start`.
--- a/tests/standins/load.cpp
+++ b/tests/standins/load.cpp
@@ -18,11 +18,6 @@
 using nlohmann::json;
 using clock = std::chrono::steady_clock;
 
-double milliseconds_since(clock::time_point start)
-{
-    return std::chrono::duration<double, std::milli>(clock::now() - start).count();
-}
-
 /// One request of a load, planned before the load starts.
 struct planned_request
 {
