--- a/source/connection/forward_attempt.hpp
+++ b/source/connection/forward_attempt.hpp
@@ -5,6 +5,7 @@
 #include "connection/caller_response.hpp"
 #include "connection/event_cutter.hpp"
 #include "connection/http_reader.hpp"
+#include "connection/memory_lease.hpp"
 #include "process/backend_record.hpp"
 #include "request/forward_terms.hpp"
 #include "request/forwarded_request.hpp"
@@ -36,6 +37,7 @@
     std::string blamed;  ///< Backend server at fault, if not the one that was asked.
     bool silent = false; ///< The backend server stopped answering.
     std::optional<time_point> first_event;
+    milliseconds longest_pause{0}; ///< Between events.
 };
 
 /// What lives as long as the request, over all its attempts.
@@ -64,8 +66,9 @@
 class forward_attempt
 {
 public:
-    forward_attempt(exchange& it, const attempt_patience& patience)
-        : exchange_(it), patience_(patience)
+    forward_attempt(exchange& it, const attempt_patience& patience,
+                    memory_lease<Codec>& memory)
+        : exchange_(it), patience_(patience), memory_(memory)
     {
     }
 
@@ -122,10 +125,21 @@
         response_reader answer(exchange_.received.head.method);
         int caller = exchange_.caller.fd();
         auto silent_at = steady::now() + patience_.first_event;
+        auto renew_at = memory_.empty() ? time_point::max()
+                                        : steady::now() + memory_lease<Codec>::renewal;
         for (;;)
         {
-            const auto until = std::min(silent_at, exchange_.until);
+            const auto until = std::min({silent_at, exchange_.until, renew_at});
             const auto woken = wait_readable(stream.fd(), caller, until);
+            if (const auto now = steady::now(); now >= renew_at)
+            {
+                memory_.renew();
+                renew_at = now + memory_lease<Codec>::renewal;
+                if (woken == wait_result::timeout && now < std::min(silent_at, exchange_.until))
+                {
+                    continue;
+                }
+            }
             if (woken == wait_result::second)
             {
                 if (peer_closed(caller))
@@ -214,10 +228,7 @@
         {
             return false;
         }
-        if (!result_.first_event)
-        {
-            result_.first_event = steady::now();
-        }
+        note_event(steady::now());
         if (!exchange_.response.begun())
         {
             exchange_.stream_head = answer.head();
@@ -226,6 +237,20 @@
         return true;
     }
 
+    void note_event(time_point now)
+    {
+        if (!result_.first_event)
+        {
+            result_.first_event = now;
+        }
+        else
+        {
+            const auto pause = ceil_milliseconds(now - last_event_);
+            result_.longest_pause = std::max(result_.longest_pause, pause);
+        }
+        last_event_ = now;
+    }
+
     template <typename Write>
     void to_caller(const Write& write)
     {
@@ -262,6 +287,8 @@
 
     exchange& exchange_;
     attempt_patience patience_;
+    memory_lease<Codec>& memory_;
+    time_point last_event_;
     attempt_result result_;
     bool seen_head_ = false;
 };
--- /dev/null
+++ b/source/connection/http_call.cpp
@@ -0,0 +1,35 @@
+#include "connection/http_call.hpp"
+
+#include "connection/http_reader.hpp"
+
+#include <fmt/format.h>
+
+namespace pistachiopost {
+
+http_reply make_call(tcp_stream& stream, std::string_view host, const http_call& call,
+                     time_point until)
+{
+    auto text = fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\n", call.method, call.target, host);
+    if (call.method != "GET")
+    {
+        text += fmt::format("Content-Type: application/json\r\nContent-Length: {}\r\n",
+                            call.body.size());
+    }
+    stream.send(text + "\r\n" + call.body, until);
+    response_reader response(call.method);
+    while (!response.done())
+    {
+        if (wait_readable(stream.fd(), -1, until) == wait_result::timeout)
+        {
+            throw connection_error("no answer in time");
+        }
+        if (!stream.receive() && !response.end_of_stream())
+        {
+            throw connection_error("the peer closed the connection");
+        }
+        response.parse(stream);
+    }
+    return {response.head().status, response.take_body(), response.keep_alive()};
+}
+
+} // namespace pistachiopost
--- a/source/process/forward_service.hpp
+++ b/source/process/forward_service.hpp
@@ -100,9 +100,13 @@
         time_point arrived;
         attempt_history history{};
         std::vector<std::string> tried{};
+        std::vector<std::string> full{};
         bool out_of_time = false;
         std::string last_fault{};
         std::optional<time_point> first_event{};
+        milliseconds longest_pause{0};
+        steady::duration waited{0};
+        placement last_place{};
     };
 
     bool run_attempts(forwarding& run)
@@ -125,13 +129,22 @@
         for (;;)
         {
             wanted.excluded = run.tried;
+            wanted.full = run.full;
             auto place = take_place(run, wanted);
             if (!place)
             {
                 return give_up(run);
             }
+            run.waited = steady::now() - run.arrived;
             const held_place held(state_.work, std::move(*place));
-            const auto result = attempt(run, held.get());
+            memory_lease<Codec> memory;
+            auto terms = make_terms(run, held.get());
+            if (!reserve(run, held.get(), memory, terms))
+            {
+                continue;
+            }
+            const auto result = attempt(run, held.get(), terms, memory);
+            run.longest_pause = std::max(run.longest_pause, result.longest_pause);
             if (result.first_event && !run.first_event)
             {
                 run.first_event = result.first_event;
@@ -189,13 +202,10 @@
         }
     }
 
-    attempt_result attempt(forwarding& run, const placement& place)
+    forward_terms make_terms(const forwarding& run, const placement& place) const
     {
         forward_terms terms;
         terms.backend = place.main.backend.id;
-        terms.time_left =
-            std::max(ceil_milliseconds(run.it.until - steady::now()) - milliseconds{1},
-                     milliseconds{1});
         terms.customer = run.customer;
         terms.last_event_id =
             run.it.events.last_id().value_or(run.it.request.last_event_id.value_or(""));
@@ -203,8 +213,41 @@
         {
             terms.helpers.push_back({it.backend.address, {}});
         }
+        return terms;
+    }
+
+    /// Sets memory aside where the placement says; false if an engine has none.
+    bool reserve(forwarding& run, const placement& place, memory_lease<Codec>& memory,
+                 forward_terms& terms)
+    {
+        for (std::size_t i = 0; i < place.helpers.size(); ++i)
+        {
+            const auto& it = place.helpers[i];
+            if (it.reserved_tokens == 0)
+            {
+                continue;
+            }
+            if (!memory.add(it.backend.id, it.backend.address, it.reserved_tokens))
+            {
+                run.full.push_back(it.backend.id);
+                state_.metrics.count("refused_reservations");
+                return false;
+            }
+            terms.helpers[i].reservation = memory.last_id();
+        }
+        return true;
+    }
+
+    attempt_result attempt(forwarding& run, const placement& place, forward_terms& terms,
+                           memory_lease<Codec>& memory)
+    {
+        // A millisecond less than is left: the way to the backend server takes time too.
+        constexpr milliseconds on_the_way{1};
+        const auto left = ceil_milliseconds(run.it.until - steady::now()) - on_the_way;
+        terms.time_left = std::max(left, milliseconds{1});
         run.it.events.drop_partial();
-        forward_attempt<Codec> one(run.it, patience_of(run.it.way, place));
+        run.last_place = place;
+        forward_attempt<Codec> one(run.it, patience_of(run.it.way, place), memory);
         return one.run(place.main.backend, terms);
     }
 
@@ -316,7 +359,12 @@
                    {"not_run", static_cast<std::uint64_t>(run.history.not_run)},
                    {"first_event_ms",
                     run.first_event ? ms(*run.first_event - run.arrived) : 0.0},
+                   {"expected_ms", run.last_place.first_event_ms},
+                   {"waited_ms", ms(run.waited)},
+                   {"longest_pause_ms", ms(run.longest_pause)},
                    {"total_ms", ms(now - run.arrived)},
+                   {"backend", run.last_place.main.backend.id},
+                   {"helpers", static_cast<std::uint64_t>(run.last_place.helpers.size())},
                    {"fault", run.last_fault}});
         return keep;
     }
--- a/source/process/placement.cpp
+++ b/source/process/placement.cpp
@@ -16,8 +16,18 @@
 // Cost of another availability zone, in milliseconds: two round trips and the priced
 // bytes.
 constexpr double other_zone_ms = 10;
-// Token steps that an engine does for all its writers at once.
+// Writers of a busy engine: a batch of sixteen that is two thirds full.
 constexpr double usual_writers = 10;
+// Share of an engine's free memory that is set aside for one prompt; the rest is for
+// requests of other gateways that were not heard of yet.
+constexpr double spare_share = 0.85;
+// Smaller reservations are not worth an order.
+constexpr std::uint64_t least_reservation = 2'048; // tokens
+
+bool contains(std::span<const std::string> names, std::string_view name)
+{
+    return std::find(names.begin(), names.end(), name) != names.end();
+}
 
 double zone_cost(const backend_record& backend, std::string_view zone)
 {
@@ -105,9 +115,16 @@
     return it == nullptr ? std::nullopt : std::optional(single(request, *it));
 }
 
-std::optional<placement> place_long(const placement_request& request,
-                                    std::span<const candidate> pool,
-                                    std::string_view zone)
+std::uint64_t free_memory(const placement_request& request, const candidate& it)
+{
+    const auto total = request.engine->memory_tokens;
+    return total - std::min(total, it.load.memory_tokens);
+}
+
+/// Chooses the engine that runs a long prompt: one with memory for all of it if there is
+/// one, else the one with the most memory.
+const candidate* choose_main(const placement_request& request,
+                             std::span<const candidate> pool, std::string_view zone)
 {
     const auto fits = [&](const candidate& it) {
         return has_slot(it) && has_memory(request, it);
@@ -115,34 +132,107 @@
     const auto* main = cheapest(pool, fits, [&](const candidate& one) {
         return one.load.read_ms + pass_of(request, one) + zone_cost(*one.backend, zone);
     });
-    if (main == nullptr)
-    {
-        return std::nullopt;
-    }
-    const double read = request.engine->read_ms(request.prompt_tokens);
-    const auto wanted = static_cast<std::size_t>(std::ceil(read / part_ms));
-    const auto parts =
-        std::clamp<std::size_t>(wanted, 1, std::min(pool.size(), max_helpers + 1));
-    std::vector<const candidate*> others;
-    for (const auto& it : pool)
+    return main != nullptr ? main : cheapest(pool, has_slot, [&](const candidate& one) {
+        return static_cast<double>(one.load.memory_tokens);
+    });
+}
+
+/// Shares memory that the main engine lacks among `helpers`, most memory first; false if
+/// they have too little.
+bool spread_memory(const placement_request& request, std::uint64_t lacking,
+                   std::vector<const candidate*> helpers, placement& into)
+{
+    std::stable_sort(helpers.begin(), helpers.end(), [&](const auto* a, const auto* b) {
+        return free_memory(request, *a) > free_memory(request, *b);
+    });
+    for (const auto* it : helpers)
     {
-        if (&it != main)
+        if (lacking == 0 || into.helpers.size() == max_helpers)
         {
-            others.push_back(&it);
+            break;
         }
+        const auto spare = static_cast<double>(free_memory(request, *it)) * spare_share;
+        const auto take = std::min(static_cast<std::uint64_t>(spare), lacking);
+        if (take < least_reservation || contains(request.full, it->backend->id))
+        {
+            continue;
+        }
+        into.helpers.push_back({*it->backend, {0, take, 0}, take});
+        lacking -= take;
     }
+    return lacking == 0;
+}
+
+/// Adds engines that read a part each, the least busy first, up to `count` helpers.
+void add_readers(std::vector<const candidate*> others, std::size_t count, placement& into)
+{
     std::stable_sort(others.begin(), others.end(), [](const auto* a, const auto* b) {
         return a->load.read_ms < b->load.read_ms;
     });
+    for (const auto* it : others)
+    {
+        const auto same = [it](const placed_part& part) {
+            return part.backend.id == it->backend->id;
+        };
+        if (into.helpers.size() >= count)
+        {
+            return;
+        }
+        if (std::none_of(into.helpers.begin(), into.helpers.end(), same))
+        {
+            into.helpers.push_back({*it->backend, {}, 0});
+        }
+    }
+}
+
+std::optional<placement> place_long(const placement_request& request,
+                                    std::span<const candidate> all, std::size_t pool_size,
+                                    std::string_view zone)
+{
+    const auto pool = all.first(pool_size);
+    const auto* main = choose_main(request, pool, zone);
+    if (main == nullptr)
+    {
+        return std::nullopt;
+    }
     auto result = single(request, *main);
-    const double part = read / static_cast<double>(parts);
-    result.main.work.read_ms = part;
+    const auto others = [main](std::span<const candidate> from) {
+        std::vector<const candidate*> list;
+        for (const auto& it : from)
+        {
+            if (&it != main)
+            {
+                list.push_back(&it);
+            }
+        }
+        return list;
+    };
+    const auto here = free_memory(request, *main);
+    if (memory_of(request) > here)
+    {
+        // A margin at the main engine for the writers that were not heard of yet.
+        const auto kept = static_cast<std::uint64_t>(static_cast<double>(here) * spare_share);
+        result.main.work.memory_tokens = kept;
+        if (!spread_memory(request, memory_of(request) - kept, others(all), result))
+        {
+            return std::nullopt;
+        }
+    }
+    const double read = request.engine->read_ms(request.prompt_tokens);
+    const auto wanted = static_cast<std::size_t>(std::ceil(read / part_ms));
+    const auto parts = std::clamp<std::size_t>(wanted, 1, max_helpers + 1);
+    add_readers(others(pool), parts - 1, result);
+    const double part = read / static_cast<double>(result.helpers.size() + 1);
     double slowest = main->load.read_ms;
-    for (std::size_t i = 0; i + 1 < parts; ++i)
+    for (auto& it : result.helpers)
     {
-        result.helpers.push_back({*others[i]->backend, {0, 0, part}});
-        slowest = std::max(slowest, others[i]->load.read_ms);
+        it.work.read_ms = part;
+        const auto known = std::find_if(all.begin(), all.end(), [&](const candidate& one) {
+            return one.backend->id == it.backend.id;
+        });
+        slowest = std::max(slowest, known->load.read_ms);
     }
+    result.main.work.read_ms = part;
     result.first_event_ms = slowest + part + pass_of(request, *main);
     return result;
 }
@@ -192,8 +282,7 @@
     std::vector<candidate> allowed;
     for (const auto& it : candidates)
     {
-        const auto& excluded = request.excluded;
-        if (std::find(excluded.begin(), excluded.end(), it.backend->id) == excluded.end())
+        if (!contains(request.excluded, it.backend->id))
         {
             allowed.push_back(it);
         }
@@ -206,9 +295,9 @@
     const auto all = std::span<const candidate>(allowed);
     if (is_long_read(request))
     {
-        auto result =
-            place_long(request, all.first(std::max<std::size_t>(pool, 1)), zone);
-        return result ? result : place_long(request, all, zone);
+        const auto size = std::min(std::max<std::size_t>(pool, 1), all.size());
+        auto result = place_long(request, all, size, zone);
+        return result ? result : place_long(request, all, all.size(), zone);
     }
     auto result = place_short(request, all.subspan(pool), zone);
     return result ? result : place_short(request, all, zone);
--- a/source/process/placement.hpp
+++ b/source/process/placement.hpp
@@ -28,6 +28,7 @@
     std::uint64_t prompt_tokens = 0;
     std::uint64_t output_tokens = 0;
     std::span<const std::string> excluded; ///< Backend servers that failed this request.
+    std::span<const std::string> full;     ///< Backend servers without memory to set aside.
 };
 
 /// One engine's share of an attempt.
@@ -35,6 +36,7 @@
 {
     backend_record backend;
     backend_load work;
+    std::uint64_t reserved_tokens = 0; ///< Memory to set aside there for the prompt.
 };
 
 /// Where an attempt goes.
