Engines for long prompts follow the short requests in flight; reading seen by first events

Cause: the pool for long prompts followed a moving average of arriving work, which single long prompts threw between 1 and 12 engines within a second; 131 of 192 late short answers had a long pause. Change: long prompts get the engines that short requests in flight do not need; a prompt waits for enough free readers; reading counts as left until its first event is seen; gateways tell each other at once of a long prompt.

--- a/source/connection/forward_attempt.hpp
+++ b/source/connection/forward_attempt.hpp
@@ -11,6 +11,7 @@
 #include "request/forwarded_request.hpp"
 #include "version/route_table.hpp"
 
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -67,8 +68,9 @@
 {
 public:
     forward_attempt(exchange& it, const attempt_patience& patience,
-                    memory_lease<Codec>& memory)
-        : exchange_(it), patience_(patience), memory_(memory)
+                    memory_lease<Codec>& memory, std::function<void()> first_event_seen)
+        : exchange_(it), patience_(patience), memory_(memory),
+          first_event_seen_(std::move(first_event_seen))
     {
     }
 
@@ -242,6 +244,7 @@
         if (!result_.first_event)
         {
             result_.first_event = now;
+            first_event_seen_();
         }
         else
         {
@@ -288,6 +291,7 @@
     exchange& exchange_;
     attempt_patience patience_;
     memory_lease<Codec>& memory_;
+    std::function<void()> first_event_seen_;
     time_point last_event_;
     attempt_result result_;
     bool seen_head_ = false;
--- a/source/connection/peer_link.cpp
+++ b/source/connection/peer_link.cpp
@@ -20,6 +20,8 @@
 
 using nlohmann::json;
 
+// Between any two messages: a few round trips between availability zones.
+constexpr milliseconds least_interval{10};
 // Between messages while the load changes: a fraction of the shortest answer.
 constexpr milliseconds busy_interval{50};
 // Between messages while it does not: half of the time for which a word counts.
@@ -43,8 +45,9 @@
     auto loads = json::array();
     for (const auto& [backend, load] : message.loads)
     {
-        loads.push_back({backend, load.requests, load.memory_tokens,
-                         static_cast<std::uint32_t>(load.read_ms)});
+        loads.push_back({backend, load.requests, load.short_requests, load.memory_tokens,
+                         static_cast<std::uint32_t>(load.read_ms),
+                         static_cast<std::uint32_t>(load.unseen_ms)});
     }
     return loads;
 }
@@ -52,8 +55,6 @@
 std::string encode(const load_report_message& message)
 {
     const auto body = json::array({message.gateway, message.boot, message.count,
-                                   static_cast<std::uint32_t>(message.arriving.long_ms),
-                                   static_cast<std::uint32_t>(message.arriving.short_ms),
                                    encode_loads(message)});
     const auto bytes = json::to_msgpack(body);
     return {bytes.begin(), bytes.end()};
@@ -68,10 +69,9 @@
         it.gateway = body.at(0);
         it.boot = body.at(1);
         it.count = body.at(2);
-        it.arriving = {body.at(3), body.at(4)};
-        for (const auto& load : body.at(5))
+        for (const auto& load : body.at(3))
         {
-            it.loads.push_back({load.at(0), {load.at(1), load.at(2), load.at(3)}});
+            it.loads.push_back({load.at(0), {load.at(1), load.at(2), load.at(3), load.at(4), load.at(5)}});
         }
         return it;
     }
@@ -108,8 +108,9 @@
     std::uint64_t count = 0;
     auto sent_at = steady::now() - idle_interval;
     json last;
-    while (!stop.wait_for(busy_interval))
+    while (!stop.wait_for(least_interval))
     {
+        work_.wait_for_news(busy_interval);
         const auto now = steady::now();
         auto message = work_.report(now);
         const auto loads = encode_loads(message);
--- a/source/process/dispatcher.cpp
+++ b/source/process/dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "process/dispatcher.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <tuple>
 #include <vector>
 
@@ -12,6 +13,10 @@
 // batch of ten.
 constexpr milliseconds wait_for_each{100};
 
+// Engine time by which a customer may be ahead of the least served one that waits before
+// its shorter prompts stop passing the other's longer ones: two usual long prompts.
+constexpr double lead_ms = 4'000;
+
 double cost_of(const placement& place)
 {
     // A place also costs its share of the steps; one pass is the smallest unit.
@@ -33,12 +38,6 @@
 {
 }
 
-void dispatcher::arrived(const placement_request& request, time_point now)
-{
-    const std::lock_guard lock(mutex_);
-    loads_.arrived(engine_time(request), now);
-}
-
 std::optional<placement> dispatcher::try_take(std::string_view customer,
                                               const placement_request& request,
                                               time_point now)
@@ -75,6 +74,17 @@
     return std::move(waiter.place_);
 }
 
+void dispatcher::reading_done(const placement& place, time_point now)
+{
+    const std::lock_guard lock(mutex_);
+    loads_.reading_done(place.main.backend.id, place.main.work);
+    for (const auto& it : place.helpers)
+    {
+        loads_.reading_done(it.backend.id, it.work);
+    }
+    serve_line(now);
+}
+
 void dispatcher::release(const placement& place, time_point now)
 {
     const std::lock_guard lock(mutex_);
@@ -105,11 +115,17 @@
     serve_line(now);
 }
 
+void dispatcher::wait_for_news(milliseconds longest)
+{
+    std::unique_lock lock(mutex_);
+    changed_.wait_for(lock, longest, [this] { return urgent_; });
+    urgent_ = false;
+}
+
 load_report_message dispatcher::report(time_point now) const
 {
     const std::lock_guard lock(mutex_);
     load_report_message it;
-    it.arriving = loads_.own_arriving(now);
     it.loads = loads_.own(now);
     return it;
 }
@@ -129,7 +145,7 @@
     {
         candidates.push_back({it, loads_.at(it->id, now)});
     }
-    return place(request, candidates, loads_.arriving(now), zone_);
+    return place(request, candidates, zone_);
 }
 
 void dispatcher::charge(std::string_view customer, const placement& place, time_point now)
@@ -139,6 +155,11 @@
     {
         loads_.add(it.backend.id, it.work, now);
     }
+    if (!place.helpers.empty())
+    {
+        urgent_ = true;
+        changed_.notify_one();
+    }
     const auto it = served_.find(customer);
     if (it != served_.end())
     {
@@ -163,6 +184,16 @@
     return it == served_.end() ? 0 : it->second;
 }
 
+double dispatcher::least_served() const
+{
+    double least = std::numeric_limits<double>::max();
+    for (const auto* it : line_)
+    {
+        least = std::min(least, served(it->customer_));
+    }
+    return least;
+}
+
 void dispatcher::serve_line(time_point now)
 {
     if (line_.empty())
@@ -170,11 +201,13 @@
         served_.clear(); // nobody contends: all counters start anew
         return;
     }
-    // Those that can still be on time first, then the least served customer, short
-    // prompts before long ones, then by arrival.
+    // Those that can still be on time first, then customers in their turn, short prompts
+    // before long ones, then by arrival.
+    const double least = least_served();
     const auto key = [&](const place_waiter* it) {
-        return std::tuple(it->on_time_until_ < now, served(it->customer_),
-                          it->request_->prompt_tokens, it->arrived_);
+        const bool ahead = served(it->customer_) > least + lead_ms;
+        return std::tuple(it->on_time_until_ < now, ahead, it->request_->prompt_tokens,
+                          it->arrived_);
     };
     line_.sort([&](const auto* a, const auto* b) { return key(a) < key(b); });
     for (auto it = line_.begin(); it != line_.end();)
--- a/source/process/dispatcher.hpp
+++ b/source/process/dispatcher.hpp
@@ -7,6 +7,7 @@
 #include "process/load_account.hpp"
 #include "process/placement.hpp"
 
+#include <condition_variable>
 #include <list>
 #include <map>
 #include <mutex>
@@ -42,8 +43,6 @@
 public:
     explicit dispatcher(std::string zone) : zone_(std::move(zone)) {}
 
-    /// Counts a new request as arriving work.
-    void arrived(const placement_request& request, time_point now);
     /// Gives a place at once if there is one and nobody waits for it.
     std::optional<placement> try_take(std::string_view customer,
                                       const placement_request& request, time_point now);
@@ -51,7 +50,9 @@
     void wait(place_waiter& waiter, time_point now);
     /// Takes a request out of the line; returns its place if it got one.
     std::optional<placement> leave(place_waiter& waiter, time_point now);
-    /// Gives a place back.
+    /// Says that the first event of this attempt was seen.
+    void reading_done(const placement& place, time_point now);
+    /// Gives a place back; reading_done() must have been called.
     void release(const placement& place, time_point now);
     /// Returns when a new request would get a place, by the work that waits; at least
     /// `least`.
@@ -69,6 +70,8 @@
     }
     /// Takes over what a peer has in flight.
     void hear(const load_report_message& message, time_point now);
+    /// Waits until peers should hear at once what changed here, at most `longest`.
+    void wait_for_news(milliseconds longest);
     /// Returns what this gateway tells its peers; names and counts are left empty.
     [[nodiscard]] load_report_message report(time_point now) const;
     [[nodiscard]] std::size_t gateways(time_point now) const;
@@ -78,8 +81,11 @@
     void charge(std::string_view customer, const placement& place, time_point now);
     void serve_line(time_point now);
     [[nodiscard]] double served(std::string_view customer) const;
+    [[nodiscard]] double least_served() const;
 
     mutable std::mutex mutex_;
+    std::condition_variable changed_;
+    bool urgent_ = false; ///< Peers should hear at once.
     std::string zone_;
     backend_roster roster_;
     load_account loads_;
--- a/source/process/forward_service.hpp
+++ b/source/process/forward_service.hpp
@@ -22,13 +22,27 @@
     }
     held_place(const held_place&) = delete;
     held_place& operator=(const held_place&) = delete;
-    ~held_place() { work_.release(place_, steady::now()); }
+    ~held_place()
+    {
+        reading_done();
+        work_.release(place_, steady::now());
+    }
+
+    /// Says that the first event was seen. Further calls do nothing.
+    void reading_done()
+    {
+        if (!std::exchange(reading_done_, true))
+        {
+            work_.reading_done(place_, steady::now());
+        }
+    }
 
     [[nodiscard]] const placement& get() const { return place_; }
 
 private:
     dispatcher& work_;
     placement place_;
+    bool reading_done_ = false;
 };
 
 /// Returns the service that the request `id` goes to, by the weights of the route. The
@@ -124,7 +138,6 @@
             wanted.prompt_tokens = run.it.request.prompt->prompt_tokens;
             wanted.output_tokens = run.it.request.prompt->max_output_tokens;
         }
-        state_.work.arrived(wanted, run.arrived);
         state_.budgets.earn(service, run.arrived);
         for (;;)
         {
@@ -136,14 +149,14 @@
                 return give_up(run);
             }
             run.waited = steady::now() - run.arrived;
-            const held_place held(state_.work, std::move(*place));
+            held_place held(state_.work, std::move(*place));
             memory_lease<Codec> memory;
             auto terms = make_terms(run, held.get());
             if (!reserve(run, held.get(), memory, terms))
             {
                 continue;
             }
-            const auto result = attempt(run, held.get(), terms, memory);
+            const auto result = attempt(run, held, terms, memory);
             run.longest_pause = std::max(run.longest_pause, result.longest_pause);
             if (result.first_event && !run.first_event)
             {
@@ -238,16 +251,18 @@
         return true;
     }
 
-    attempt_result attempt(forwarding& run, const placement& place, forward_terms& terms,
+    attempt_result attempt(forwarding& run, held_place& held, forward_terms& terms,
                            memory_lease<Codec>& memory)
     {
+        const auto& place = held.get();
         // A millisecond less than is left: the way to the backend server takes time too.
         constexpr milliseconds on_the_way{1};
         const auto left = ceil_milliseconds(run.it.until - steady::now()) - on_the_way;
         terms.time_left = std::max(left, milliseconds{1});
         run.it.events.drop_partial();
         run.last_place = place;
-        forward_attempt<Codec> one(run.it, patience_of(run.it.way, place), memory);
+        forward_attempt<Codec> one(run.it, patience_of(run.it.way, place), memory,
+                                   [&held] { held.reading_done(); });
         return one.run(place.main.backend, terms);
     }
 
@@ -364,6 +379,7 @@
                    {"longest_pause_ms", ms(run.longest_pause)},
                    {"total_ms", ms(now - run.arrived)},
                    {"backend", run.last_place.main.backend.id},
+                   {"long_pool", static_cast<std::uint64_t>(run.last_place.long_pool)},
                    {"helpers", static_cast<std::uint64_t>(run.last_place.helpers.size())},
                    {"fault", run.last_fault}});
         return keep;
--- a/source/process/load_account.cpp
+++ b/source/process/load_account.cpp
@@ -1,28 +1,30 @@
 #include "process/load_account.hpp"
 
 #include <algorithm>
-#include <cmath>
 
 namespace pistachiopost {
 
 namespace {
 
 using float_ms = std::chrono::duration<double, std::milli>;
-using float_s = std::chrono::duration<double>;
 
 // A peer's word counts this long: twice the longest pause between its messages.
 constexpr milliseconds peer_lifetime{1'000};
-// Half of the swings' usual rise time of two seconds.
-constexpr double arrival_window_s = 1.0;
+
+// Share of the reading whose first event was not seen that counts as left at least: on
+// average half of it is done.
+constexpr double unseen_share = 0.5;
 
 double read_left(const backend_load& load, steady::duration passed)
 {
     return std::max(0.0, load.read_ms - float_ms(passed).count());
 }
 
-double fade(steady::duration passed)
+/// Returns the reading left, which engines that are slower than estimated show by their
+/// first events.
+double trusted_left(const backend_load& load, steady::duration passed)
 {
-    return std::exp(-float_s(passed).count() / arrival_window_s);
+    return std::max(read_left(load, passed), load.unseen_ms * unseen_share);
 }
 
 } // namespace
@@ -30,8 +32,10 @@
 backend_load& backend_load::operator+=(const backend_load& other)
 {
     requests += other.requests;
+    short_requests += other.short_requests;
     memory_tokens += other.memory_tokens;
     read_ms += other.read_ms;
+    unseen_ms += other.unseen_ms;
     return *this;
 }
 
@@ -45,6 +49,7 @@
     auto& [load, updated] = it->second;
     load.read_ms = read_left(load, now - updated);
     load += work;
+    load.unseen_ms += work.read_ms;
     updated = now;
 }
 
@@ -58,6 +63,7 @@
     }
     auto& [load, updated] = it->second;
     load.requests -= std::min(load.requests, work.requests);
+    load.short_requests -= std::min(load.short_requests, work.short_requests);
     load.memory_tokens -= std::min(load.memory_tokens, work.memory_tokens);
     load.read_ms = read_left(load, now - updated);
     updated = now;
@@ -67,12 +73,13 @@
     }
 }
 
-void load_account::arrived(const arriving_work& work, time_point now)
+void load_account::reading_done(std::string_view backend, const backend_load& work)
 {
-    arriving_ = own_arriving(now);
-    arriving_.long_ms += work.long_ms / arrival_window_s;
-    arriving_.short_ms += work.short_ms / arrival_window_s;
-    arriving_updated_ = now;
+    if (const auto it = own_.find(backend); it != own_.end())
+    {
+        auto& left = it->second.load.unseen_ms;
+        left = std::max(0.0, left - work.read_ms);
+    }
 }
 
 void load_account::hear(const load_report_message& message, time_point now)
@@ -85,7 +92,6 @@
     it.boot = message.boot;
     it.count = message.count;
     it.heard = now;
-    it.arriving = message.arriving;
     it.loads.clear();
     for (const auto& [backend, load] : message.loads)
     {
@@ -99,7 +105,7 @@
     if (const auto it = own_.find(backend); it != own_.end())
     {
         sum = it->second.load;
-        sum.read_ms = read_left(sum, now - it->second.updated);
+        sum.read_ms = trusted_left(sum, now - it->second.updated);
     }
     for (const auto& [name, other] : peers_)
     {
@@ -107,33 +113,13 @@
         if (now - other.heard < peer_lifetime && it != other.loads.end())
         {
             auto load = it->second;
-            load.read_ms = read_left(load, now - other.heard);
+            load.read_ms = trusted_left(load, now - other.heard);
             sum += load;
         }
     }
     return sum;
 }
 
-arriving_work load_account::own_arriving(time_point now) const
-{
-    const double rest = fade(now - arriving_updated_);
-    return {arriving_.long_ms * rest, arriving_.short_ms * rest};
-}
-
-arriving_work load_account::arriving(time_point now) const
-{
-    auto sum = own_arriving(now);
-    for (const auto& [name, other] : peers_)
-    {
-        if (now - other.heard < peer_lifetime)
-        {
-            sum.long_ms += other.arriving.long_ms;
-            sum.short_ms += other.arriving.short_ms;
-        }
-    }
-    return sum;
-}
-
 std::size_t load_account::gateways(time_point now) const
 {
     const auto heard = [now](const auto& it) {
--- a/source/process/load_account.hpp
+++ b/source/process/load_account.hpp
@@ -16,9 +16,11 @@
 /// Work at one backend server.
 struct backend_load
 {
-    std::uint32_t requests = 0;      ///< In flight.
+    std::uint32_t requests = 0;       ///< In flight.
+    std::uint32_t short_requests = 0; ///< Those of them with a short prompt.
     std::uint64_t memory_tokens = 0; ///< Held by prompts and their answers.
     double read_ms = 0;              ///< Prompt reading not yet done, by estimate.
+    double unseen_ms = 0; ///< Prompt reading whose first event was not yet seen.
 
     backend_load& operator+=(const backend_load& other);
 };
@@ -30,20 +32,12 @@
     backend_load load;
 };
 
-/// Work that arrives, as moving averages over about a second.
-struct arriving_work
-{
-    double long_ms = 0;  ///< Engine time of long prompts, per second.
-    double short_ms = 0; ///< Engine time of short prompts, per second.
-};
-
 /// What one gateway tells the others.
 struct load_report_message
 {
     std::string gateway;     ///< Name of the sender.
     std::uint64_t count = 0; ///< Grows with each message of one process.
     std::uint64_t boot = 0;  ///< Differs between processes of one gateway.
-    arriving_work arriving;
     std::vector<reported_load> loads;
 };
 
@@ -55,21 +49,17 @@
     void add(std::string_view backend, const backend_load& work, time_point now);
     /// Takes the request and its memory off again. Reading goes down with time.
     void remove(std::string_view backend, const backend_load& work, time_point now);
-    /// Counts arriving work.
-    void arrived(const arriving_work& work, time_point now);
+    /// Says that the first event of this work was seen: its reading is done.
+    void reading_done(std::string_view backend, const backend_load& work);
     /// Takes over what a peer reports; older messages than the last are dropped.
     void hear(const load_report_message& message, time_point now);
 
     /// Returns the load of a backend server, from here and from all peers heard lately.
     [[nodiscard]] backend_load at(std::string_view backend, time_point now) const;
-    /// Returns the work that arrives here and at the peers.
-    [[nodiscard]] arriving_work arriving(time_point now) const;
     /// Returns the number of gateways heard lately, this one included.
     [[nodiscard]] std::size_t gateways(time_point now) const;
     /// Returns this gateway's own part, for its peers.
     [[nodiscard]] std::vector<reported_load> own(time_point now) const;
-    /// Returns this gateway's own arriving work.
-    [[nodiscard]] arriving_work own_arriving(time_point now) const;
 
 private:
     struct timed_load
@@ -82,14 +72,11 @@
         std::uint64_t boot = 0;
         std::uint64_t count = 0;
         time_point heard;
-        arriving_work arriving;
         std::map<std::string, backend_load, std::less<>> loads;
     };
 
     std::map<std::string, timed_load, std::less<>> own_;
     std::map<std::string, peer, std::less<>> peers_;
-    arriving_work arriving_;
-    time_point arriving_updated_;
 };
 
 } // namespace pistachiopost
--- a/source/process/placement.cpp
+++ b/source/process/placement.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 // Share of the tightest pause that one read may add: the rest is the pass itself.
-constexpr double long_read_share = 0.4;
+constexpr double long_read_share = 0.7;
 // Part of a prompt that one engine reads, in milliseconds: about one pass of writers.
 constexpr double part_ms = 40;
 // Engines that may read for another one, a limit of the engines.
@@ -18,9 +18,17 @@
 constexpr double other_zone_ms = 10;
 // Writers of a busy engine: a batch of sixteen that is two thirds full.
 constexpr double usual_writers = 10;
+// One engine in eight stays for long prompts whatever the short ones need.
+constexpr std::size_t least_pool_part = 8;
 // Share of an engine's free memory that is set aside for one prompt; the rest is for
 // requests of other gateways that were not heard of yet.
 constexpr double spare_share = 0.85;
+// Engines with more reading left get no further prompt: it would add up with the others
+// to one long pause. Two parts keep an engine busy until the next word from its peers.
+constexpr double max_backlog_ms = 120;
+// Share of the wanted parts below which a prompt waits for more readers: its parts would
+// be so large that the next prompts wait behind them.
+constexpr double least_parts = 0.6;
 // Smaller reservations are not worth an order.
 constexpr std::uint64_t least_reservation = 2'048; // tokens
 
@@ -58,11 +66,12 @@
 {
     placement result;
     result.main.backend = *it.backend;
-    result.main.work = {1, 0, 0};
+    result.main.work.requests = 1;
     if (request.engine != nullptr)
     {
         const double read = request.engine->read_ms(request.prompt_tokens);
-        result.main.work = {1, memory_of(request), read};
+        const std::uint32_t is_short = is_long_read(request) ? 0 : 1;
+        result.main.work = {1, is_short, memory_of(request), read};
         result.first_event_ms = it.load.read_ms + read + pass_of(request, it);
     }
     return result;
@@ -102,19 +111,6 @@
     return it == nullptr ? std::nullopt : std::optional(single(request, *it));
 }
 
-std::optional<placement> place_short(const placement_request& request,
-                                     std::span<const candidate> candidates,
-                                     std::string_view zone)
-{
-    const auto fits = [&](const candidate& it) {
-        return has_slot(it) && has_memory(request, it);
-    };
-    const auto* it = cheapest(candidates, fits, [&](const candidate& one) {
-        return one.load.read_ms + pass_of(request, one) + zone_cost(*one.backend, zone);
-    });
-    return it == nullptr ? std::nullopt : std::optional(single(request, *it));
-}
-
 std::uint64_t free_memory(const placement_request& request, const candidate& it)
 {
     const auto total = request.engine->memory_tokens;
@@ -157,7 +153,7 @@
         {
             continue;
         }
-        into.helpers.push_back({*it->backend, {0, take, 0}, take});
+        into.helpers.push_back({*it->backend, {0, 0, take, 0}, take});
         lacking -= take;
     }
     return lacking == 0;
@@ -185,56 +181,116 @@
     }
 }
 
-std::optional<placement> place_long(const placement_request& request,
-                                    std::span<const candidate> all, std::size_t pool_size,
-                                    std::string_view zone)
+/// Returns the engines that may read parts of this prompt: those with little reading left
+/// and, for a long prompt, without short requests whose pauses it would stretch.
+std::vector<const candidate*> free_readers(const placement_request& request,
+                                           std::span<const candidate> from,
+                                           const candidate* main)
+{
+    const bool is_long = is_long_read(request);
+    std::vector<const candidate*> list;
+    for (const auto& it : from)
+    {
+        const bool disturbs = is_long && it.load.short_requests > 0;
+        if (&it != main && !disturbs && it.load.read_ms < max_backlog_ms)
+        {
+            list.push_back(&it);
+        }
+    }
+    return list;
+}
+
+/// Returns how many engines should read the prompt, `readers` of which could be had.
+std::size_t wanted_parts(const placement_request& request, std::size_t readers)
+{
+    const double read = request.engine->read_ms(request.prompt_tokens);
+    const auto wanted = static_cast<std::size_t>(std::ceil(read / part_ms));
+    return std::clamp<std::size_t>(wanted, 1, std::min(readers, max_helpers) + 1);
+}
+
+/// Sets the reading of each part and the time to the first event.
+void share_reading(const placement_request& request, std::span<const candidate> pool,
+                   const candidate& main, placement& into)
+{
+    const double read = request.engine->read_ms(request.prompt_tokens);
+    const double part = read / static_cast<double>(into.helpers.size() + 1);
+    double slowest = main.load.read_ms;
+    for (auto& it : into.helpers)
+    {
+        it.work.read_ms = part;
+        const auto known = std::find_if(pool.begin(), pool.end(), [&](const candidate& one) {
+            return one.backend->id == it.backend.id;
+        });
+        slowest = std::max(slowest, known->load.read_ms);
+    }
+    into.main.work.read_ms = part;
+    into.first_event_ms = slowest + part + pass_of(request, main);
+}
+
+/// Places a prompt in `pool`: one engine runs it, others read parts of it.
+std::optional<placement> place_in(const placement_request& request,
+                                  std::span<const candidate> pool, std::string_view zone)
 {
-    const auto pool = all.first(pool_size);
     const auto* main = choose_main(request, pool, zone);
-    if (main == nullptr)
+    if (main == nullptr || main->load.read_ms >= max_backlog_ms)
+    {
+        return std::nullopt;
+    }
+    const auto free = free_readers(request, pool, main);
+    const auto parts = wanted_parts(request, pool.size() - 1);
+    if (static_cast<double>(free.size() + 1) < static_cast<double>(parts) * least_parts)
     {
         return std::nullopt;
     }
     auto result = single(request, *main);
-    const auto others = [main](std::span<const candidate> from) {
-        std::vector<const candidate*> list;
-        for (const auto& it : from)
-        {
-            if (&it != main)
-            {
-                list.push_back(&it);
-            }
-        }
-        return list;
-    };
     const auto here = free_memory(request, *main);
     if (memory_of(request) > here)
     {
         // A margin at the main engine for the writers that were not heard of yet.
         const auto kept = static_cast<std::uint64_t>(static_cast<double>(here) * spare_share);
+        const auto lacking = memory_of(request) - kept;
         result.main.work.memory_tokens = kept;
-        if (!spread_memory(request, memory_of(request) - kept, others(all), result))
+        if (!spread_memory(request, lacking, free, result))
         {
             return std::nullopt;
         }
     }
-    const double read = request.engine->read_ms(request.prompt_tokens);
-    const auto wanted = static_cast<std::size_t>(std::ceil(read / part_ms));
-    const auto parts = std::clamp<std::size_t>(wanted, 1, max_helpers + 1);
-    add_readers(others(pool), parts - 1, result);
-    const double part = read / static_cast<double>(result.helpers.size() + 1);
-    double slowest = main->load.read_ms;
-    for (auto& it : result.helpers)
+    add_readers(free, parts - 1, result);
+    share_reading(request, pool, *main, result);
+    return result;
+}
+
+/// Returns the engines that write nothing.
+std::vector<candidate> without_writers(std::span<const candidate> from)
+{
+    std::vector<candidate> list;
+    for (const auto& it : from)
     {
-        it.work.read_ms = part;
-        const auto known = std::find_if(all.begin(), all.end(), [&](const candidate& one) {
-            return one.backend->id == it.backend.id;
-        });
-        slowest = std::max(slowest, known->load.read_ms);
+        if (it.load.requests == 0)
+        {
+            list.push_back(it);
+        }
     }
-    result.main.work.read_ms = part;
-    result.first_event_ms = slowest + part + pass_of(request, *main);
-    return result;
+    return list;
+}
+
+/// Chooses among the engines; the first `pool` of them are for long prompts.
+std::optional<placement> place_prompt(const placement_request& request,
+                                      std::span<const candidate> all, std::size_t pool,
+                                      std::string_view zone)
+{
+    const auto long_pool = all.first(std::min(pool, all.size()));
+    const auto short_pool = all.subspan(long_pool.size());
+    if (!is_long_read(request))
+    {
+        auto result = place_in(request, short_pool, zone);
+        return result ? result : place_in(request, long_pool, zone);
+    }
+    if (auto result = place_in(request, long_pool, zone))
+    {
+        return result;
+    }
+    return place_in(request, without_writers(short_pool), zone);
 }
 
 } // namespace
@@ -250,34 +306,22 @@
     return request.engine->read_ms(request.prompt_tokens) > limit;
 }
 
-arriving_work engine_time(const placement_request& request)
+std::size_t long_pool_size(std::span<const candidate> candidates)
 {
-    if (request.engine == nullptr)
-    {
-        return {};
-    }
-    const auto& engine = *request.engine;
-    const double steps = static_cast<double>(request.output_tokens);
-    const double pass = engine.pass_ms(static_cast<std::size_t>(usual_writers), 0);
-    const double writing = steps * pass / engine.steps_per_pass / usual_writers;
-    const double whole = engine.read_ms(request.prompt_tokens) + writing;
-    return is_long_read(request) ? arriving_work{whole, 0} : arriving_work{0, whole};
-}
-
-std::size_t long_pool_size(std::size_t count, const arriving_work& arriving)
-{
-    const double all = arriving.long_ms + arriving.short_ms;
-    if (count < 2 || all <= 0)
+    std::uint32_t writers = 0;
+    for (const auto& it : candidates)
     {
-        return count / 2;
+        writers += it.load.short_requests;
     }
-    const auto wanted = std::lround(static_cast<double>(count) * arriving.long_ms / all);
-    return std::clamp<std::size_t>(static_cast<std::size_t>(wanted), 1, count - 1);
+    const auto needed = static_cast<std::size_t>(std::ceil(writers / usual_writers)) + 1;
+    const auto count = candidates.size();
+    const auto least = std::max<std::size_t>(count / least_pool_part, std::min<std::size_t>(count, 1));
+    return count > needed + least ? count - needed : least;
 }
 
 std::optional<placement> place(const placement_request& request,
                                std::span<const candidate> candidates,
-                               const arriving_work& arriving, std::string_view zone)
+                               std::string_view zone)
 {
     std::vector<candidate> allowed;
     for (const auto& it : candidates)
@@ -291,16 +335,13 @@
     {
         return place_call(request, allowed, zone);
     }
-    const auto pool = long_pool_size(allowed.size(), arriving);
-    const auto all = std::span<const candidate>(allowed);
-    if (is_long_read(request))
+    const auto pool = long_pool_size(allowed);
+    auto result = place_prompt(request, allowed, pool, zone);
+    if (result)
     {
-        const auto size = std::min(std::max<std::size_t>(pool, 1), all.size());
-        auto result = place_long(request, all, size, zone);
-        return result ? result : place_long(request, all, all.size(), zone);
+        result->long_pool = pool;
     }
-    auto result = place_short(request, all.subspan(pool), zone);
-    return result ? result : place_short(request, all, zone);
+    return result;
 }
 
 } // namespace pistachiopost
--- a/source/process/placement.hpp
+++ b/source/process/placement.hpp
@@ -45,6 +45,7 @@
     placed_part main;
     std::vector<placed_part> helpers; ///< Read parts of the prompt.
     double first_event_ms = 0;        ///< Expected time to the first event.
+    std::size_t long_pool = 0;        ///< Engines for long prompts at that moment.
 };
 
 /// A backend server that may get work, with its load.
@@ -58,16 +59,14 @@
 /// tightest route too far.
 bool is_long_read(const placement_request& request);
 
-/// Returns how much engine time the request takes, by long and short prompts.
-arriving_work engine_time(const placement_request& request);
-
-/// Returns how many of `count` engines long prompts get.
-std::size_t long_pool_size(std::size_t count, const arriving_work& arriving);
+/// Returns how many of the candidates long prompts get: all that the short requests in
+/// flight do not need.
+std::size_t long_pool_size(std::span<const candidate> candidates);
 
 /// Chooses among `candidates`, which stand in the common order; nothing if none has a
 /// place. `zone` is this gateway's.
 std::optional<placement> place(const placement_request& request,
                                std::span<const candidate> candidates,
-                               const arriving_work& arriving, std::string_view zone);
+                               std::string_view zone);
 
 } // namespace pistachiopost
