--- a/source/process/gateway_process.hpp
+++ b/source/process/gateway_process.hpp
@@ -66,7 +66,8 @@
     } while (!stop.wait_for(pause.next()));
 }
 
-/// Lets the balancer notice, finishes what is under way and closes idle connections.
+/// Lets the balancer notice, then takes nothing new, closes idle connections and finishes
+/// what is under way.
 inline void drain(gateway_state& state, stop_flag& stop)
 {
     // The balancer asks once a second and takes a VM out after two misses.
@@ -91,7 +92,7 @@
     using codec = typename Platform::codec;
     using store = typename Platform::store;
     gateway_state state(settings);
-    const auto callers = listen_tcp(settings.listen);
+    auto callers = listen_tcp(settings.listen);
     const auto readiness = listen_tcp(settings.readiness);
     const auto metrics = listen_tcp(settings.metrics);
     peer_link peers(settings.self.vm, settings.peers, state.work);
@@ -129,9 +130,10 @@
         });
     });
     task serve_callers([&] {
-        accept_until(callers, end_fd.get(), [&](unique_fd sock) {
+        accept_until(callers, state.stop_fd.get(), [&](unique_fd sock) {
             start_connection<codec>(state, std::move(sock));
         });
+        callers.reset(); // new connections are refused and go to other gateways
     });
     log_event(log_level::warn, "gateway started",
               {{"address", to_string(settings.listen)}});
--- a/source/process/placement.cpp
+++ b/source/process/placement.cpp
@@ -7,17 +7,19 @@
 
 namespace {
 
-// Share of the tightest pause that one read may add: the rest is the pass itself.
-constexpr double long_read_share = 0.7;
-// Part of a prompt that one engine reads, in milliseconds: about one pass of writers.
-constexpr double part_ms = 40;
+// Share of the tightest pause between events that one read may add before it counts as long.
+constexpr double long_read_share = 1;
+// Part of a prompt that one engine reads, in milliseconds: with a pass of its writers it
+// stays below the pause of a quarter second that short answers allow.
+constexpr double part_ms = 150;
 // Engines that may read for another one, a limit of the engines.
 constexpr std::size_t max_helpers = 16;
 // Cost of another availability zone, in milliseconds: two round trips and the priced
 // bytes.
 constexpr double other_zone_ms = 10;
-// Writers of a busy engine: a batch of sixteen that is two thirds full.
-constexpr double usual_writers = 10;
+// Short requests that one engine is meant to write at once: four fifths of a batch of
+// sixteen, so that the next ones find a place.
+constexpr double usual_writers = 13;
 // One engine in eight stays for long prompts whatever the short ones need.
 constexpr std::size_t least_pool_part = 8;
 // Share of an engine's free memory that is set aside for one prompt; the rest is for
