A waiting request is refused while its caller can still come back

Change: the line refuses after 0.7 of the caller's patience with a time to come back, and a request is urgent again after 0.2 of it.

--- a/source/connection/forward_attempt.hpp
+++ b/source/connection/forward_attempt.hpp
@@ -137,7 +137,8 @@
             {
                 memory_.renew();
                 renew_at = now + memory_lease<Codec>::renewal;
-                if (woken == wait_result::timeout && now < std::min(silent_at, exchange_.until))
+                if (woken == wait_result::timeout &&
+                    now < std::min(silent_at, exchange_.until))
                 {
                     continue;
                 }
--- a/source/connection/http_call.cpp
+++ b/source/connection/http_call.cpp
@@ -9,7 +9,8 @@
 http_reply make_call(tcp_stream& stream, std::string_view host, const http_call& call,
                      time_point until)
 {
-    auto text = fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\n", call.method, call.target, host);
+    auto text =
+        fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\n", call.method, call.target, host);
     if (call.method != "GET")
     {
         text += fmt::format("Content-Type: application/json\r\nContent-Length: {}\r\n",
--- a/source/connection/memory_lease.hpp
+++ b/source/connection/memory_lease.hpp
@@ -33,7 +33,8 @@
 
 /// Holds memory while the attempt runs and gives it back at its end. Should this process
 /// die, the memory comes free by itself after `hold`.
-template <typename Codec> class memory_lease
+template <typename Codec>
+class memory_lease
 {
 public:
     /// Time for which each order holds the memory. Shorter than the four seconds in which
@@ -92,8 +93,9 @@
         }
         catch (const connection_error& ex)
         {
-            log_event(log_level::info, "order for memory not answered",
-                      {{"backend", it.backend}, {"reservation", it.id}, {"fault", ex.what()}});
+            log_event(
+                log_level::info, "order for memory not answered",
+                {{"backend", it.backend}, {"reservation", it.id}, {"fault", ex.what()}});
             return 0;
         }
     }
--- a/source/connection/peer_link.cpp
+++ b/source/connection/peer_link.cpp
@@ -54,8 +54,8 @@
 
 std::string encode(const load_report_message& message)
 {
-    const auto body = json::array({message.gateway, message.boot, message.count,
-                                   encode_loads(message)});
+    const auto body = json::array(
+        {message.gateway, message.boot, message.count, encode_loads(message)});
     const auto bytes = json::to_msgpack(body);
     return {bytes.begin(), bytes.end()};
 }
@@ -71,7 +71,9 @@
         it.count = body.at(2);
         for (const auto& load : body.at(3))
         {
-            it.loads.push_back({load.at(0), {load.at(1), load.at(2), load.at(3), load.at(4), load.at(5)}});
+            it.loads.push_back(
+                {load.at(0),
+                 {load.at(1), load.at(2), load.at(3), load.at(4), load.at(5)}});
         }
         return it;
     }
--- a/source/process/dispatcher.cpp
+++ b/source/process/dispatcher.cpp
@@ -32,9 +32,11 @@
 } // namespace
 
 place_waiter::place_waiter(std::string_view customer, const placement_request& request,
-                           time_point arrived, time_point on_time_until)
+                           time_point arrived, time_point on_time_until,
+                           time_point lost_soon_from)
     : customer_(customer), request_(&request), arrived_(arrived),
-      on_time_until_(on_time_until), wake_(open_event_fd())
+      on_time_until_(on_time_until), lost_soon_from_(lost_soon_from),
+      wake_(open_event_fd())
 {
 }
 
@@ -201,13 +203,13 @@
         served_.clear(); // nobody contends: all counters start anew
         return;
     }
-    // Those that can still be on time first, then customers in their turn, short prompts
-    // before long ones, then by arrival.
+    // Those that can still be on time and those whose callers are about to give up first,
+    // then customers in their turn, short prompts before long ones, then by arrival.
     const double least = least_served();
     const auto key = [&](const place_waiter* it) {
         const bool ahead = served(it->customer_) > least + lead_ms;
-        return std::tuple(it->on_time_until_ < now, ahead, it->request_->prompt_tokens,
-                          it->arrived_);
+        const bool late = it->on_time_until_ < now && now < it->lost_soon_from_;
+        return std::tuple(late, ahead, it->request_->prompt_tokens, it->arrived_);
     };
     line_.sort([&](const auto* a, const auto* b) { return key(a) < key(b); });
     for (auto it = line_.begin(); it != line_.end();)
--- a/source/process/dispatcher.hpp
+++ b/source/process/dispatcher.hpp
@@ -22,7 +22,7 @@
 public:
     /// `wake` becomes readable once the request has its place.
     place_waiter(std::string_view customer, const placement_request& request,
-                 time_point arrived, time_point on_time_until);
+                 time_point arrived, time_point on_time_until, time_point lost_soon_from);
 
     [[nodiscard]] const unique_fd& wake() const { return wake_; }
 
@@ -32,7 +32,8 @@
     std::string_view customer_;
     const placement_request* request_;
     time_point arrived_;
-    time_point on_time_until_; ///< Answers after this are late.
+    time_point on_time_until_;  ///< Answers after this are late.
+    time_point lost_soon_from_; ///< From then on the caller may give up any moment.
     std::optional<placement> place_;
     unique_fd wake_;
 };
--- a/source/process/forward_service.cpp
+++ b/source/process/forward_service.cpp
@@ -15,6 +15,10 @@
 constexpr milliseconds least_gap_patience{900};
 // An engine whose helper is dead stalls this long before it says so.
 constexpr milliseconds helper_stall{1'500};
+// Shares of a caller's patience after which a waiting request is urgent, and after which
+// it is refused so that the caller can come back while it has time left.
+constexpr double urgent_share = 0.2;
+constexpr double longest_share = 0.7;
 // Estimates of the time to the first event may be this much too low.
 constexpr double estimate_slack = 2;
 
@@ -43,6 +47,13 @@
     return way.services.back().service;
 }
 
+place_patience line_patience(const route& way)
+{
+    const auto whole = static_cast<double>(way.caller_patience().count());
+    return {milliseconds{static_cast<milliseconds::rep>(whole * urgent_share)},
+            milliseconds{static_cast<milliseconds::rep>(whole * longest_share)}};
+}
+
 attempt_patience patience_of(const route& way, const placement& place)
 {
     if (way.kind != call_kind::stream)
--- a/source/process/forward_service.hpp
+++ b/source/process/forward_service.hpp
@@ -49,6 +49,16 @@
 /// same request always goes to the same one.
 std::string_view choose_service(const route& way, std::string_view id);
 
+/// How long a request waits for a place.
+struct place_patience
+{
+    milliseconds urgent_after; ///< From then on it goes before late ones.
+    milliseconds longest;      ///< Then it is refused.
+};
+
+/// Returns how long a request of this route waits for a place.
+place_patience line_patience(const route& way);
+
 /// Returns how long an attempt may stay silent.
 attempt_patience patience_of(const route& way, const placement& place);
 
@@ -189,13 +199,16 @@
         {
             return place;
         }
-        const auto on_time_until = run.arrived + run.it.way.latency_target;
-        place_waiter waiter(run.customer, wanted, run.arrived, on_time_until);
+        const auto patience = line_patience(run.it.way);
+        const auto give_up_at = std::min(run.arrived + patience.longest, run.it.until);
+        place_waiter waiter(run.customer, wanted, run.arrived,
+                            run.arrived + run.it.way.latency_target,
+                            run.arrived + patience.urgent_after);
         state_.work.wait(waiter, steady::now());
         int caller = run.it.caller.fd();
         for (;;)
         {
-            const auto woken = wait_readable(waiter.wake().get(), caller, run.it.until);
+            const auto woken = wait_readable(waiter.wake().get(), caller, give_up_at);
             if (woken != wait_result::second)
             {
                 run.out_of_time = woken == wait_result::timeout;
--- a/source/process/load_account.hpp
+++ b/source/process/load_account.hpp
@@ -18,8 +18,8 @@
 {
     std::uint32_t requests = 0;       ///< In flight.
     std::uint32_t short_requests = 0; ///< Those of them with a short prompt.
-    std::uint64_t memory_tokens = 0; ///< Held by prompts and their answers.
-    double read_ms = 0;              ///< Prompt reading not yet done, by estimate.
+    std::uint64_t memory_tokens = 0;  ///< Held by prompts and their answers.
+    double read_ms = 0;               ///< Prompt reading not yet done, by estimate.
     double unseen_ms = 0; ///< Prompt reading whose first event was not yet seen.
 
     backend_load& operator+=(const backend_load& other);
--- a/source/process/placement.cpp
+++ b/source/process/placement.cpp
@@ -7,7 +7,8 @@
 
 namespace {
 
-// Share of the tightest pause between events that one read may add before it counts as long.
+// Share of the tightest pause between events that one read may add before it counts as
+// long.
 constexpr double long_read_share = 1;
 // Part of a prompt that one engine reads, in milliseconds: with a pass of its writers it
 // stays below the pause of a quarter second that short answers allow.
@@ -220,9 +221,10 @@
     for (auto& it : into.helpers)
     {
         it.work.read_ms = part;
-        const auto known = std::find_if(pool.begin(), pool.end(), [&](const candidate& one) {
-            return one.backend->id == it.backend.id;
-        });
+        const auto known =
+            std::find_if(pool.begin(), pool.end(), [&](const candidate& one) {
+                return one.backend->id == it.backend.id;
+            });
         slowest = std::max(slowest, known->load.read_ms);
     }
     into.main.work.read_ms = part;
@@ -249,7 +251,8 @@
     if (memory_of(request) > here)
     {
         // A margin at the main engine for the writers that were not heard of yet.
-        const auto kept = static_cast<std::uint64_t>(static_cast<double>(here) * spare_share);
+        const auto kept =
+            static_cast<std::uint64_t>(static_cast<double>(here) * spare_share);
         const auto lacking = memory_of(request) - kept;
         result.main.work.memory_tokens = kept;
         if (!spread_memory(request, lacking, free, result))
@@ -317,7 +320,8 @@
     }
     const auto needed = static_cast<std::size_t>(std::ceil(writers / usual_writers)) + 1;
     const auto count = candidates.size();
-    const auto least = std::max<std::size_t>(count / least_pool_part, std::min<std::size_t>(count, 1));
+    const auto least =
+        std::max<std::size_t>(count / least_pool_part, std::min<std::size_t>(count, 1));
     return count > needed + least ? count - needed : least;
 }
 
--- a/source/process/placement.hpp
+++ b/source/process/placement.hpp
@@ -28,7 +28,7 @@
     std::uint64_t prompt_tokens = 0;
     std::uint64_t output_tokens = 0;
     std::span<const std::string> excluded; ///< Backend servers that failed this request.
-    std::span<const std::string> full;     ///< Backend servers without memory to set aside.
+    std::span<const std::string> full; ///< Backend servers without memory to set aside.
 };
 
 /// One engine's share of an attempt.
--- a/source/version/route_table.cpp
+++ b/source/version/route_table.cpp
@@ -5,6 +5,20 @@
 
 namespace pistachiopost {
 
+milliseconds route::caller_patience() const
+{
+    // The platform's page on requests: two seconds, four times the latency target or
+    // eight times the pause between events, whichever is longest.
+    constexpr milliseconds least{2'000};
+    constexpr int of_latency = 4;
+    constexpr int of_gap = 8;
+    if (kind != call_kind::stream)
+    {
+        return timeout;
+    }
+    return std::max({least, latency_target * of_latency, event_gap_target * of_gap});
+}
+
 double engine_model::read_ms(std::uint64_t prompt_tokens) const
 {
     const auto n = static_cast<double>(prompt_tokens);
--- a/source/version/route_table.hpp
+++ b/source/version/route_table.hpp
@@ -47,6 +47,9 @@
     std::uint32_t max_attempts = 1;
     std::vector<service_share> services;
 
+    /// Returns how long a caller waits for the first event or the whole answer, and for
+    /// each further event, before it gives up by itself.
+    [[nodiscard]] milliseconds caller_patience() const;
     /// Returns whether a request may be sent again after it may have run.
     [[nodiscard]] bool repeatable() const
     {
