Requests that crash backend servers are refused everywhere; priority in the line; early answers

Change: crash_tally counts the backend servers that broke off under a request and spreads with the gateways' messages; priority orders the line; sending stops when the answer comes.

--- a/source/connection/forward_attempt.hpp
+++ b/source/connection/forward_attempt.hpp
@@ -36,7 +36,8 @@
     std::string body;    ///< The same.
     std::string fault;   ///< Why there is no answer, for the log.
     std::string blamed;  ///< Backend server at fault, if not the one that was asked.
-    bool silent = false; ///< The backend server stopped answering.
+    bool silent = false;     ///< The backend server stopped answering.
+    bool broken_off = false; ///< The backend server closed or reset the connection.
     std::optional<time_point> first_event;
     milliseconds longest_pause{0}; ///< Between events.
 };
@@ -91,18 +92,24 @@
         }
         try
         {
-            stream->send(Codec::encode_forward(exchange_.received.head, terms,
-                                               exchange_.received.body.size()) +
-                             exchange_.received.body,
-                         exchange_.until);
+            stream->send_until_answer(
+                Codec::encode_forward(exchange_.received.head, terms,
+                                      exchange_.received.body.size()) +
+                    exchange_.received.body,
+                exchange_.until);
             return read_answer(*stream);
         }
         catch (const caller_left& it)
         {
             return ended(attempt_end::caller_gone, it.what());
         }
+        catch (const protocol_error& it)
+        {
+            return ended(attempt_end::unknown, it.what());
+        }
         catch (const connection_error& it)
         {
+            result_.broken_off = true;
             return ended(attempt_end::unknown, it.what());
         }
     }
@@ -177,6 +184,7 @@
             }
             if (!open)
             {
+                result_.broken_off = true;
                 return ended(attempt_end::unknown, "the backend server closed early");
             }
         }
--- a/source/connection/peer_link.cpp
+++ b/source/connection/peer_link.cpp
@@ -52,10 +52,20 @@
     return loads;
 }
 
+json encode_crashes(const load_report_message& message)
+{
+    auto crashes = json::array();
+    for (const auto& it : message.crashes)
+    {
+        crashes.push_back({it.fingerprint, it.backend});
+    }
+    return crashes;
+}
+
 std::string encode(const load_report_message& message)
 {
     const auto body = json::array(
-        {message.gateway, message.boot, message.count, encode_loads(message)});
+        {message.gateway, message.boot, message.count, encode_loads(message), encode_crashes(message)});
     const auto bytes = json::to_msgpack(body);
     return {bytes.begin(), bytes.end()};
 }
@@ -75,6 +85,10 @@
                 {load.at(0),
                  {load.at(1), load.at(2), load.at(3), load.at(4), load.at(5)}});
         }
+        for (const auto& crash : body.at(4))
+        {
+            it.crashes.push_back({crash.at(0), crash.at(1)});
+        }
         return it;
     }
     catch (const json::exception& ex)
@@ -86,9 +100,11 @@
 
 } // namespace
 
-peer_link::peer_link(std::string name, const endpoint& own, dispatcher& work)
+peer_link::peer_link(std::string name, const endpoint& own, dispatcher& work,
+                     crash_tally& crashes)
     : name_(std::move(name)), boot_(std::random_device()()),
-      sock_(::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)), work_(work)
+      sock_(::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)), work_(work),
+      crashes_(crashes)
 {
     const auto addr = to_sockaddr(own);
     if (!sock_ ||
@@ -109,23 +125,24 @@
 {
     std::uint64_t count = 0;
     auto sent_at = steady::now() - idle_interval;
-    json last;
+    load_report_message last;
     while (!stop.wait_for(least_interval))
     {
         work_.wait_for_news(busy_interval);
         const auto now = steady::now();
         auto message = work_.report(now);
-        const auto loads = encode_loads(message);
-        if (loads == last && now - sent_at < idle_interval)
+        message.crashes = crashes_.recent(now);
+        const bool changed = message.loads != last.loads || message.crashes != last.crashes;
+        if (!changed && now - sent_at < idle_interval)
         {
             continue;
         }
-        last = loads;
         sent_at = now;
         message.gateway = name_;
         message.boot = boot_;
         message.count = ++count;
         send_report(encode(message));
+        last = std::move(message);
     }
 }
 
--- a/source/connection/peer_link.hpp
+++ b/source/connection/peer_link.hpp
@@ -1,5 +1,5 @@
 /// \file
-/// Datagrams between gateways: what each has in flight.
+/// Datagrams between gateways: what each has in flight, and requests that crash backend servers.
 #pragma once
 
 #include "connection/unique_fd.hpp"
@@ -18,7 +18,7 @@
 {
 public:
     /// Opens the socket. Throws connection_error.
-    peer_link(std::string name, const endpoint& own, dispatcher& work);
+    peer_link(std::string name, const endpoint& own, dispatcher& work, crash_tally& crashes);
 
     /// Sets whom to send to.
     void set_peers(const std::vector<endpoint>& peers);
@@ -28,12 +28,14 @@
     void run_receiver(int stop_fd);
 
 private:
+    void take(std::string_view bytes);
     void send_report(const std::string& bytes);
 
     std::string name_;
     std::uint64_t boot_;
     unique_fd sock_;
     dispatcher& work_;
+    crash_tally& crashes_;
     std::mutex mutex_;
     std::vector<endpoint> peers_;
 };
--- a/source/connection/tcp_stream.cpp
+++ b/source/connection/tcp_stream.cpp
@@ -90,6 +90,17 @@
 
 void tcp_stream::send(std::string_view bytes, time_point until)
 {
+    send_some(bytes, until, false);
+}
+
+void tcp_stream::send_until_answer(std::string_view bytes, time_point until)
+{
+    send_some(bytes, until, true);
+}
+
+void tcp_stream::send_some(std::string_view bytes, time_point until, bool stop_at_answer)
+{
+    const auto events = static_cast<short>(stop_at_answer ? POLLOUT | POLLIN : POLLOUT);
     while (!bytes.empty())
     {
         const auto n =
@@ -103,11 +114,15 @@
         {
             throw socket_failure("send failed");
         }
-        pollfd waiting{sock_.get(), POLLOUT, 0};
+        pollfd waiting{sock_.get(), events, 0};
         if (::poll(&waiting, 1, poll_timeout(until)) == 0 && steady::now() >= until)
         {
             throw connection_error("send timed out");
         }
+        if ((waiting.revents & POLLIN) != 0)
+        {
+            return;
+        }
     }
 }
 
--- a/source/connection/tcp_stream.hpp
+++ b/source/connection/tcp_stream.hpp
@@ -41,6 +41,9 @@
     bool receive();
     /// Sends everything; throws connection_error if it cannot before `until`.
     void send(std::string_view bytes, time_point until);
+    /// Sends until everything is sent or the peer has sent something: an answer may come
+    /// before the request was read. Throws like send().
+    void send_until_answer(std::string_view bytes, time_point until);
     /// Closes the connection now.
     void close() { sock_.reset(); }
     /// Sends the end of the stream, so that what was sent arrives although the peer
@@ -52,6 +55,8 @@
     void detect_silence(milliseconds limit);
 
 private:
+    void send_some(std::string_view bytes, time_point until, bool stop_at_answer);
+
     unique_fd sock_;
     std::string buffer_;
     std::size_t begin_ = 0;
--- a/source/process/forward_service.hpp
+++ b/source/process/forward_service.hpp
@@ -103,6 +103,14 @@
             std::min(patient_until,
                      way->timeout.count() > 0 ? arrived + way->timeout : patient_until);
         forwarding run{it, *table, customer == nullptr ? "" : customer->name, arrived};
+        run.priority = customer != nullptr && customer->priority ? *customer->priority
+                                                                 : way->priority;
+        run.fingerprint = fingerprint_of(request.path, run.customer, received.body);
+        if (state_.crashes.refuses(run.fingerprint, arrived))
+        {
+            return own(response, request, 502, "backend servers crash on this request",
+                       "crashes_backends");
+        }
         return run_attempts(run);
     }
 
@@ -112,6 +120,8 @@
     static constexpr milliseconds default_time{15'000};
     // A gateway that starts knows its configuration within about this time.
     static constexpr milliseconds retry_when_starting{500};
+    // Engines know ten ranks.
+    static constexpr std::uint32_t least_urgent = 9;
     // Least pause before a refused request is worth sending again.
     static constexpr milliseconds least_retry_after{100};
 
@@ -122,6 +132,8 @@
         const route_table& table;
         std::string customer;
         time_point arrived;
+        std::uint32_t priority = 0;
+        std::uint64_t fingerprint = 0;
         attempt_history history{};
         std::vector<std::string> tried{};
         std::vector<std::string> full{};
@@ -139,6 +151,7 @@
         const auto* known = run.table.find_service(service);
         placement_request wanted;
         wanted.service = service;
+        wanted.priority = run.priority;
         wanted.engine = known != nullptr && known->engine && run.it.way.runs_model
                             ? &*known->engine
                             : nullptr;
@@ -233,6 +246,7 @@
         forward_terms terms;
         terms.backend = place.main.backend.id;
         terms.customer = run.customer;
+        terms.urgency = std::min(run.priority, least_urgent);
         terms.last_event_id =
             run.it.events.last_id().value_or(run.it.request.last_event_id.value_or(""));
         for (const auto& it : place.helpers)
@@ -292,12 +306,17 @@
         if (result.end == attempt_end::answered && result.kind == answer_kind::success)
         {
             state_.work.change_roster(now, [&](auto& it) { it.answered(id); });
+            state_.crashes.clear(run.fingerprint);
             return false;
         }
         if (run.out_of_time)
         {
             return false;
         }
+        if (result.end == attempt_end::unknown && result.broken_off)
+        {
+            state_.crashes.add({run.fingerprint, id}, now);
+        }
         run.tried.push_back(id);
         log_event(log_level::info, "attempt failed",
                   {{"request", run.it.request.id},
--- a/source/process/gateway_process.hpp
+++ b/source/process/gateway_process.hpp
@@ -95,7 +95,7 @@
     auto callers = listen_tcp(settings.listen);
     const auto readiness = listen_tcp(settings.readiness);
     const auto metrics = listen_tcp(settings.metrics);
-    peer_link peers(settings.self.vm, settings.peers, state.work);
+    peer_link peers(settings.self.vm, settings.peers, state.work, state.crashes);
     configuration_follower<codec> configurations(state);
     backend_follower<codec> backends(state);
     peer_follower gateways(settings.self.vm,
--- a/source/process/gateway_state.hpp
+++ b/source/process/gateway_state.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "connection/unique_fd.hpp"
+#include "process/crash_tally.hpp"
 #include "process/dispatcher.hpp"
 #include "process/gateway_metrics.hpp"
 #include "process/service_budgets.hpp"
@@ -26,6 +27,7 @@
     version_holder<route_table> routes;
     dispatcher work;
     service_budgets budgets;
+    crash_tally crashes;
     gateway_metrics metrics;
     unique_fd stop_fd;                  ///< Readable once idle connections are to close.
     std::atomic<bool> stopping = false; ///< A stop signal has arrived.
--- a/source/process/load_account.hpp
+++ b/source/process/load_account.hpp
@@ -2,6 +2,7 @@
 /// What this gateway and its peers have in flight at each backend server.
 #pragma once
 
+#include "process/crash_tally.hpp"
 #include "request/time_types.hpp"
 
 #include <cstdint>
@@ -23,6 +24,7 @@
     double unseen_ms = 0; ///< Prompt reading whose first event was not yet seen.
 
     backend_load& operator+=(const backend_load& other);
+    bool operator==(const backend_load&) const = default;
 };
 
 /// The load of one backend server, as sent between gateways.
@@ -30,6 +32,8 @@
 {
     std::string backend;
     backend_load load;
+
+    bool operator==(const reported_load&) const = default;
 };
 
 /// What one gateway tells the others.
@@ -39,6 +43,7 @@
     std::uint64_t count = 0; ///< Grows with each message of one process.
     std::uint64_t boot = 0;  ///< Differs between processes of one gateway.
     std::vector<reported_load> loads;
+    std::vector<crash_sighting> crashes;
 };
 
 /// The account. Not thread-safe: the dispatcher holds a lock.
--- a/source/process/placement.hpp
+++ b/source/process/placement.hpp
@@ -23,6 +23,7 @@
 struct placement_request
 {
     std::string_view service;
+    std::uint32_t priority = 0; ///< 0 is the most urgent.
     const engine_model* engine = nullptr; ///< Null for a plain service.
     milliseconds tightest_gap{0};         ///< Shortest pause between events on any route.
     std::uint64_t prompt_tokens = 0;
