--- a/source/connection/forward_attempt.hpp
+++ b/source/connection/forward_attempt.hpp
@@ -32,10 +32,10 @@
 {
     attempt_end end = attempt_end::unknown;
     answer_kind kind = answer_kind::untrusted;
-    message_head head;   ///< Of an answer that is not a passed-on stream.
-    std::string body;    ///< The same.
-    std::string fault;   ///< Why there is no answer, for the log.
-    std::string blamed;  ///< Backend server at fault, if not the one that was asked.
+    message_head head;       ///< Of an answer that is not a passed-on stream.
+    std::string body;        ///< The same.
+    std::string fault;       ///< Why there is no answer, for the log.
+    std::string blamed;      ///< Backend server at fault, if not the one that was asked.
     bool silent = false;     ///< The backend server stopped answering.
     bool broken_off = false; ///< The backend server closed or reset the connection.
     std::optional<time_point> first_event;
--- a/source/connection/http2_session.hpp
+++ b/source/connection/http2_session.hpp
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "connection/connection_error.hpp"
+#include "connection/header_field.hpp"
 #include "connection/unique_fd.hpp"
 #include "request/time_types.hpp"
 
@@ -32,13 +33,6 @@
 
 namespace pistachiopost {
 
-/// A header field of a stream.
-struct header_field
-{
-    std::string name;
-    std::string value;
-};
-
 /// Header fields of a received stream, by name.
 using header_map = std::map<std::string, std::string, std::less<>>;
 
--- a/source/connection/message_codec.hpp
+++ b/source/connection/message_codec.hpp
@@ -3,13 +3,13 @@
 /// header fields, everything else as msgpack values.
 #pragma once
 
+#include "connection/codec_error.hpp"
 #include "connection/http2_session.hpp"
 #include "process/load_report.hpp"
 #include "request/attempt.hpp"
 
 #include <memory>
 #include <optional>
-#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -17,13 +17,6 @@
 
 namespace pistachiopost {
 
-/// A peer sent something that cannot be decoded.
-class codec_error : public std::runtime_error
-{
-public:
-    using std::runtime_error::runtime_error;
-};
-
 /// Anything that travels in the body of a stream.
 using link_message = std::variant<attempt_event, load_report, crash_record>;
 
--- a/source/connection/message_head.hpp
+++ b/source/connection/message_head.hpp
@@ -2,19 +2,14 @@
 /// The head of an HTTP message, whatever library parsed it.
 #pragma once
 
+#include "connection/header_field.hpp"
+
 #include <string>
 #include <string_view>
 #include <vector>
 
 namespace pistachiopost {
 
-/// One header field.
-struct header_field
-{
-    std::string name;
-    std::string value;
-};
-
 /// Returns whether two header names are the same, whatever their case.
 bool same_header_name(std::string_view a, std::string_view b);
 
--- a/source/connection/peer_link.cpp
+++ b/source/connection/peer_link.cpp
@@ -1,6 +1,6 @@
 #include "connection/peer_link.hpp"
 
-#include "connection/message_codec.hpp"
+#include "connection/codec_error.hpp"
 #include "connection/tcp_stream.hpp"
 #include "process/logging.hpp"
 
@@ -64,8 +64,8 @@
 
 std::string encode(const load_report_message& message)
 {
-    const auto body = json::array(
-        {message.gateway, message.boot, message.count, encode_loads(message), encode_crashes(message)});
+    const auto body = json::array({message.gateway, message.boot, message.count,
+                                   encode_loads(message), encode_crashes(message)});
     const auto bytes = json::to_msgpack(body);
     return {bytes.begin(), bytes.end()};
 }
@@ -132,7 +132,8 @@
         const auto now = steady::now();
         auto message = work_.report(now);
         message.crashes = crashes_.recent(now);
-        const bool changed = message.loads != last.loads || message.crashes != last.crashes;
+        const bool changed =
+            message.loads != last.loads || message.crashes != last.crashes;
         if (!changed && now - sent_at < idle_interval)
         {
             continue;
--- a/source/connection/peer_link.hpp
+++ b/source/connection/peer_link.hpp
@@ -1,5 +1,6 @@
 /// \file
-/// Datagrams between gateways: what each has in flight, and requests that crash backend servers.
+/// Datagrams between gateways: what each has in flight, and requests that crash backend
+/// servers.
 #pragma once
 
 #include "connection/unique_fd.hpp"
@@ -18,7 +19,8 @@
 {
 public:
     /// Opens the socket. Throws connection_error.
-    peer_link(std::string name, const endpoint& own, dispatcher& work, crash_tally& crashes);
+    peer_link(std::string name, const endpoint& own, dispatcher& work,
+              crash_tally& crashes);
 
     /// Sets whom to send to.
     void set_peers(const std::vector<endpoint>& peers);
--- a/source/process/backend_roster.cpp
+++ b/source/process/backend_roster.cpp
@@ -3,7 +3,9 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <map>
 #include <set>
+#include <tuple>
 
 namespace pistachiopost {
 
@@ -23,6 +25,36 @@
     return std::min(first_avoidance * (1U << doublings), longest_avoidance);
 }
 
+/// A backend server and its place in the common order.
+struct ranked
+{
+    std::uint64_t rank;
+    const backend_record* record;
+};
+
+/// Orders by rank, availability zones in turn, so that any stretch of the order has
+/// backend servers of all of them.
+std::vector<const backend_record*> alternate_zones(std::vector<ranked> list)
+{
+    std::sort(list.begin(), list.end(),
+              [](const ranked& a, const ranked& b) { return a.rank < b.rank; });
+    std::map<std::string_view, std::size_t> seen;
+    std::vector<std::tuple<std::size_t, std::uint64_t, const backend_record*>> order;
+    order.reserve(list.size());
+    for (const auto& it : list)
+    {
+        order.emplace_back(seen[it.record->zone]++, it.rank, it.record);
+    }
+    std::sort(order.begin(), order.end());
+    std::vector<const backend_record*> result;
+    result.reserve(order.size());
+    for (const auto& it : order)
+    {
+        result.push_back(std::get<2>(it));
+    }
+    return result;
+}
+
 } // namespace
 
 void backend_roster::put(const backend_record& record, time_point now)
@@ -141,8 +173,8 @@
 std::vector<const backend_record*> backend_roster::usable(std::string_view service,
                                                           time_point now) const
 {
-    std::vector<std::pair<std::uint64_t, const backend_record*>> good;
-    std::vector<std::pair<std::uint64_t, const backend_record*>> avoided;
+    std::vector<ranked> good;
+    std::vector<ranked> avoided;
     for (const auto& [id, it] : members_)
     {
         if (it.record.service != service || it.record.leaving)
@@ -150,17 +182,9 @@
             continue;
         }
         auto& list = it.avoided_until <= now ? good : avoided;
-        list.emplace_back(it.rank, &it.record);
+        list.push_back({it.rank, &it.record});
     }
-    auto& chosen = good.empty() ? avoided : good;
-    std::sort(chosen.begin(), chosen.end());
-    std::vector<const backend_record*> result;
-    result.reserve(chosen.size());
-    for (const auto& [rank, record] : chosen)
-    {
-        result.push_back(record);
-    }
-    return result;
+    return alternate_zones(good.empty() ? std::move(avoided) : std::move(good));
 }
 
 const backend_record* backend_roster::at_address(std::string_view address) const
--- a/source/process/dispatcher.cpp
+++ b/source/process/dispatcher.cpp
@@ -204,13 +204,14 @@
         return;
     }
     // Those that can still be on time and those whose callers are about to give up first,
-    // then by priority, then customers in their turn, short prompts before long ones, then
-    // by arrival.
+    // then by priority, then customers in their turn, short prompts before long ones,
+    // then by arrival.
     const double least = least_served();
     const auto key = [&](const place_waiter* it) {
         const bool ahead = served(it->customer_) > least + lead_ms;
         const bool late = it->on_time_until_ < now && now < it->lost_soon_from_;
-        return std::tuple(late, it->request_->priority, ahead, it->request_->prompt_tokens, it->arrived_);
+        return std::tuple(late, it->request_->priority, ahead,
+                          it->request_->prompt_tokens, it->arrived_);
     };
     line_.sort([&](const auto* a, const auto* b) { return key(a) < key(b); });
     for (auto it = line_.begin(); it != line_.end();)
--- a/source/process/gateway_process.hpp
+++ b/source/process/gateway_process.hpp
@@ -44,6 +44,16 @@
     }
 }
 
+/// Accepts callers until the gateway takes nothing new; further connections are then
+/// refused and go to other gateways.
+template <typename Codec>
+void accept_callers(gateway_state& state, unique_fd listener)
+{
+    accept_until(listener, state.stop_fd.get(), [&](unique_fd sock) {
+        start_connection<Codec>(state, std::move(sock));
+    });
+}
+
 /// Writes the row of this gateway until that succeeds or the process stops.
 template <typename Store>
 void announce(Store store, const gateway_settings& settings, stop_flag& stop)
@@ -129,12 +139,7 @@
                                                     state.connections)};
         });
     });
-    task serve_callers([&] {
-        accept_until(callers, state.stop_fd.get(), [&](unique_fd sock) {
-            start_connection<codec>(state, std::move(sock));
-        });
-        callers.reset(); // new connections are refused and go to other gateways
-    });
+    task serve_callers([&] { accept_callers<codec>(state, std::move(callers)); });
     log_event(log_level::warn, "gateway started",
               {{"address", to_string(settings.listen)}});
 
--- a/source/process/placement.hpp
+++ b/source/process/placement.hpp
@@ -2,9 +2,8 @@
 /// Chooses the backend servers of one attempt.
 ///
 /// Long prompts and short ones get engines of their own, so that reading a long prompt
-/// does not stretch the pauses of short answers. How many engines long prompts get
-/// follows the work that arrives. A long prompt is read in parts by all of them: the work
-/// in all stays the same, and the engines act as one fast one.
+/// does not stretch the pauses of short answers. Short requests in flight decide how many
+/// engines are left for long prompts; prompt_parts.hpp says how these share them.
 #pragma once
 
 #include "process/backend_record.hpp"
@@ -23,7 +22,7 @@
 struct placement_request
 {
     std::string_view service;
-    std::uint32_t priority = 0; ///< 0 is the most urgent.
+    std::uint32_t priority = 0;           ///< 0 is the most urgent.
     const engine_model* engine = nullptr; ///< Null for a plain service.
     milliseconds tightest_gap{0};         ///< Shortest pause between events on any route.
     std::uint64_t prompt_tokens = 0;
@@ -56,6 +55,9 @@
     backend_load load;
 };
 
+/// Returns whether `list` holds `name`.
+bool names(std::span<const std::string> list, std::string_view name);
+
 /// Returns whether reading this prompt on one engine would stretch a pause of the
 /// tightest route too far.
 bool is_long_read(const placement_request& request);
--- /dev/null
+++ b/tests/gateway/gateway_fixture.hpp
@@ -0,0 +1,287 @@
+/// \file
+/// A gateway's tasks in this process, before scripted backend servers on loopback.
+#pragma once
+
+#include "connection/gateway_connection.hpp"
+#include "connection/status_server.hpp"
+#include "platform/adapter.hpp"
+#include "process/task.hpp"
+
+#include <criterion/criterion.h>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace pistachiopost {
+
+/// A backend server whose every connection runs a script.
+class scripted_backend
+{
+public:
+    using script = std::function<void(tcp_stream&, const received_request&)>;
+
+    explicit scripted_backend(script answer)
+        : listener_(listen_tcp({"127.0.0.1", 0})), stop_(open_event_fd()),
+          serving_([this, answer] { serve(answer); })
+    {
+        sockaddr_in addr{};
+        socklen_t n = sizeof addr;
+        getsockname(listener_.get(), reinterpret_cast<sockaddr*>(&addr), &n);
+        address = {"127.0.0.1", ntohs(addr.sin_port)};
+    }
+
+    ~scripted_backend()
+    {
+        signal_event_fd(stop_);
+        serving_.join();
+    }
+
+    /// Returns the requests received, orders included.
+    std::vector<received_request> requests()
+    {
+        const std::lock_guard lock(mutex_);
+        return requests_;
+    }
+
+    endpoint address;
+
+private:
+    void serve(const script& answer)
+    {
+        std::vector<task> tasks;
+        accept_until(listener_, stop_.get(), [&](unique_fd sock) {
+            auto shared = std::make_shared<unique_fd>(std::move(sock));
+            tasks.emplace_back([this, shared, answer] {
+                tcp_stream stream(std::move(*shared));
+                received_request request;
+                const caller_limits limits;
+                try
+                {
+                    if (read_request(stream, limits, -1, request) ==
+                        request_outcome::complete)
+                    {
+                        remember(request);
+                        answer(stream, request);
+                    }
+                }
+                catch (const connection_error&)
+                {
+                    // The gateway closed; the test checks what it received.
+                }
+            });
+        });
+        for (auto& it : tasks)
+        {
+            it.join();
+        }
+    }
+
+    void remember(const received_request& request)
+    {
+        const std::lock_guard lock(mutex_);
+        requests_.push_back(request);
+    }
+
+    unique_fd listener_;
+    unique_fd stop_;
+    std::mutex mutex_;
+    std::vector<received_request> requests_;
+    task serving_;
+};
+
+/// Sends text to the gateway; the test fails later if it did not arrive.
+inline void say(tcp_stream& stream, std::string_view text)
+{
+    stream.send(text, steady::now() + seconds{5});
+}
+
+inline std::string id_of(const received_request& request)
+{
+    return std::string(request.head.value("Request-Id"));
+}
+
+/// Answers with a whole body and a signature.
+inline void answer_whole(tcp_stream& stream, const received_request& request, int status,
+                         std::string_view body)
+{
+    say(stream, fmt::format("HTTP/1.1 {} x\r\nRequest-Id: {}\r\nResponse-Stamp: s\r\n"
+                            "Content-Length: {}\r\n\r\n{}",
+                            status, id_of(request), body.size(), body));
+}
+
+/// Begins a stream of events.
+inline void begin_events(tcp_stream& stream, const received_request& request)
+{
+    say(stream, fmt::format("HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nResponse-Stamp: s\r\n"
+                            "Content-Type: text/event-stream\r\n"
+                            "Transfer-Encoding: chunked\r\n\r\n",
+                            id_of(request)));
+}
+
+/// Sends one chunk of a stream.
+inline void send_chunk(tcp_stream& stream, std::string_view bytes)
+{
+    say(stream, fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes));
+}
+
+inline std::string event(int id)
+{
+    return fmt::format("id: {}\ndata: e{}\n\n", id, id);
+}
+
+/// Sends the events `first` to `last` and ends the stream.
+inline void answer_events(tcp_stream& stream, const received_request& request, int first,
+                          int last)
+{
+    begin_events(stream, request);
+    for (int i = first; i <= last; ++i)
+    {
+        send_chunk(stream, event(i));
+    }
+    say(stream, "0\r\n\r\n");
+}
+
+/// What a caller received.
+struct received_answer
+{
+    message_head head;
+    std::string body;
+    bool whole = false;
+};
+
+/// One gateway with routes /stream/, /safe/, /once/ and /open/ on host a.test.
+struct gateway_fixture
+{
+    gateway_fixture()
+    {
+        settings.self.zone = "z";
+        state = std::make_unique<gateway_state>(settings);
+        state->knows_backends = true;
+        configure(1);
+    }
+
+    ~gateway_fixture() { finish(); }
+
+    /// Waits until every connection's task has ended.
+    void finish()
+    {
+        for (auto& it : connections)
+        {
+            it.join();
+        }
+    }
+
+    void configure(std::uint64_t version, std::uint64_t memory = 200'000)
+    {
+        using nlohmann::json;
+        const auto add = [](const char* name, const char* kind, const char* service) {
+            return json{{"name", name},
+                        {"host", "a.test"},
+                        {"prefix", std::string("/") + name + "/"},
+                        {"kind", kind},
+                        {"timeout-ms", 4000},
+                        {"target-latency-ms", 300},
+                        {"max-attempts", 2},
+                        {"service", service},
+                        {"sticky", std::string(kind) == "stream"},
+                        {"resumable", std::string(kind) == "stream"},
+                        {"gap-target-ms", 250}};
+        };
+        auto open = add("open", "safe", "plain");
+        open["public"] = true;
+        const json engine{
+            {"slots", 4},     {"kv-capacity", memory},  {"stride", 43},
+            {"step_ms", 1.0}, {"read_per_s", 206000.0}, {"pairs_per_m", 0.1},
+            {"chunk", 2048}};
+        const json document{
+            {"version", version},
+            {"routes",
+             json::array({add("stream", "stream", "model"), add("safe", "safe", "plain"),
+                          add("once", "unsafe", "plain"), open})},
+            {"services", json::array({json{{"name", "model"}, {"engine", engine}},
+                                      json{{"name", "plain"}}})},
+            {"tenants",
+             json::array({json{{"name", "ann"}, {"api-keys", json::array({"key-a"})}}})}};
+        state->routes.advance(std::make_shared<const route_table>(
+            platform::decode_configuration(document.dump())));
+    }
+
+    /// Adds a backend server for `service`.
+    void add(const scripted_backend& server, const std::string& id, const char* service)
+    {
+        const backend_record record{id, service, server.address, "z", 4, false, 1};
+        state->work.change_roster(steady::now(),
+                                  [&](auto& it) { it.put(record, steady::now()); });
+    }
+
+    /// Opens a caller's connection.
+    tcp_stream connect()
+    {
+        int pair[2] = {-1, -1};
+        cr_assert_eq(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, pair), 0);
+        auto shared = std::make_shared<unique_fd>(pair[1]);
+        connections.emplace_back([this, shared] {
+            serve_gateway_connection<platform::adapter::codec>(*state,
+                                                               std::move(*shared));
+        });
+        return tcp_stream(unique_fd(pair[0]));
+    }
+
+    static std::string request(std::string_view path, std::string_view more = {},
+                               std::string_view body = {})
+    {
+        return fmt::format("POST {} HTTP/1.1\r\nHost: a.test\r\nRequest-Id: r1\r\n"
+                           "Deadline-Ms: 3000\r\nApi-Key: key-a\r\n{}"
+                           "Content-Length: {}\r\n\r\n{}",
+                           path, more, body.size(), body);
+    }
+
+    static received_answer read_answer(tcp_stream& caller)
+    {
+        response_reader reader("POST");
+        received_answer it;
+        const auto until = steady::now() + seconds{10};
+        while (!reader.done() &&
+               wait_readable(caller.fd(), -1, until) == wait_result::first)
+        {
+            const bool open = caller.receive();
+            reader.parse(caller);
+            it.body += reader.take_body();
+            if (!open)
+            {
+                break;
+            }
+        }
+        it.head = reader.head();
+        it.whole = reader.done();
+        return it;
+    }
+
+    received_answer ask(std::string_view path, std::string_view more = {},
+                        std::string_view body = {})
+    {
+        auto caller = connect();
+        say(caller, request(path, more, body));
+        return read_answer(caller);
+    }
+
+    gateway_settings settings;
+    std::unique_ptr<gateway_state> state;
+    std::vector<task> connections;
+};
+
+/// Header of a prompt of `tokens` tokens.
+inline std::string prompt(std::uint64_t tokens)
+{
+    return fmt::format("Model: m\r\nToken-Count: {},100\r\n", tokens);
+}
+
+} // namespace pistachiopost
--- /dev/null
+++ b/tests/gateway/gateway_front_test.cpp
@@ -0,0 +1,148 @@
+#include "gateway_fixture.hpp"
+
+#include "process/gateway_process.hpp"
+
+using namespace pistachiopost;
+
+namespace {
+
+std::string without_key(std::string_view path)
+{
+    return fmt::format("GET {} HTTP/1.1\r\nHost: a.test\r\nRequest-Id: r1\r\n\r\n", path);
+}
+
+int status_of(gateway_fixture& gateway, std::string_view text)
+{
+    auto caller = gateway.connect();
+    say(caller, text);
+    return gateway_fixture::read_answer(caller).head.status;
+}
+
+} // namespace
+
+Test(gateway_front, unknown_key_is_refused_with_401)
+{
+    gateway_fixture gateway;
+    cr_assert_eq(status_of(gateway, without_key("/safe/x")), 401);
+}
+
+Test(gateway_front, public_route_needs_no_key)
+{
+    const scripted_backend server([](auto& stream, const auto& request) {
+        answer_whole(stream, request, 200, "ok");
+    });
+    gateway_fixture gateway;
+    gateway.add(server, "i-1", "plain");
+    cr_assert_eq(status_of(gateway, without_key("/open/x")), 200);
+}
+
+Test(gateway_front, path_without_a_route_is_refused_with_404)
+{
+    gateway_fixture gateway;
+    cr_assert_eq(gateway.ask("/nowhere/x").head.status, 404);
+}
+
+Test(gateway_front, request_before_the_first_configuration_is_told_when_to_come_back)
+{
+    gateway_fixture gateway;
+    gateway.state->knows_backends = false;
+    const auto answer = gateway.ask("/safe/x");
+    cr_assert_eq(answer.head.status, 503);
+    cr_assert_not_null(answer.head.find("Retry-After"));
+}
+
+Test(gateway_front, request_without_any_backend_server_is_told_when_to_come_back)
+{
+    gateway_fixture gateway;
+    const auto answer = gateway.ask("/stream/x", prompt(100));
+    cr_assert_eq(answer.head.status, 503);
+    cr_assert_not_null(answer.head.find("Retry-After"));
+}
+
+Test(gateway_front, head_over_the_limit_is_refused_with_431)
+{
+    gateway_fixture gateway;
+    const std::string large(20'000, 'x');
+    cr_assert_eq(gateway.ask("/safe/x", "X-Large: " + large + "\r\n").head.status, 431);
+}
+
+Test(gateway_front, body_over_the_limit_is_refused_with_413)
+{
+    gateway_fixture gateway;
+    auto caller = gateway.connect();
+    say(caller,
+        "POST /safe/x HTTP/1.1\r\nHost: a.test\r\nContent-Length: 5000000\r\n\r\n");
+    cr_assert_eq(gateway_fixture::read_answer(caller).head.status, 413);
+}
+
+Test(gateway_front, bytes_that_are_not_http_are_refused_with_400)
+{
+    gateway_fixture gateway;
+    cr_assert_eq(status_of(gateway, "no http\r\n\r\n"), 400);
+}
+
+Test(gateway_front, two_requests_sent_together_are_answered_in_turn)
+{
+    const scripted_backend server([](auto& stream, const auto& request) {
+        answer_whole(stream, request, 200, request.body);
+    });
+    gateway_fixture gateway;
+    gateway.add(server, "i-1", "plain");
+    auto caller = gateway.connect();
+    say(caller, gateway_fixture::request("/once/x", {}, "one") +
+                    gateway_fixture::request("/once/x", {}, "two"));
+    cr_assert_eq(gateway_fixture::read_answer(caller).body, "one");
+    cr_assert_eq(gateway_fixture::read_answer(caller).body, "two");
+}
+
+Test(gateway_front, stopping_gateway_answers_and_closes)
+{
+    const scripted_backend server([](auto& stream, const auto& request) {
+        answer_whole(stream, request, 200, "ok");
+    });
+    gateway_fixture gateway;
+    gateway.add(server, "i-1", "plain");
+    auto caller = gateway.connect();
+    gateway.state->stopping = true;
+    cr_assert_not(gateway.state->ready());
+    say(caller, gateway_fixture::request("/once/x"));
+    const auto answer = gateway_fixture::read_answer(caller);
+    cr_assert_eq(answer.body, "ok");
+    cr_assert_eq(answer.head.value("Connection"), "close");
+}
+
+Test(gateway_front, idle_connection_is_closed_when_the_gateway_stops)
+{
+    gateway_fixture gateway;
+    auto caller = gateway.connect();
+    signal_event_fd(gateway.state->stop_fd);
+    cr_assert_eq(wait_readable(caller.fd(), -1, steady::now() + seconds{5}),
+                 wait_result::first);
+    cr_assert(peer_closed(caller.fd()));
+}
+
+Test(gateway_front, connection_after_the_stop_is_refused)
+{
+    // Requests sent long after a stop signal would be cut at the end of the process.
+    auto listener = listen_tcp({"127.0.0.1", 0});
+    sockaddr_in addr{};
+    socklen_t n = sizeof addr;
+    getsockname(listener.get(), reinterpret_cast<sockaddr*>(&addr), &n);
+    const endpoint where{"127.0.0.1", ntohs(addr.sin_port)};
+    gateway_fixture gateway;
+    task serving([&] {
+        accept_callers<platform::adapter::codec>(*gateway.state, std::move(listener));
+    });
+    signal_event_fd(gateway.state->stop_fd);
+    serving.join();
+    bool refused = false;
+    try
+    {
+        connect_tcp(where, 1'000);
+    }
+    catch (const connection_error&)
+    {
+        refused = true;
+    }
+    cr_assert(refused);
+}
--- /dev/null
+++ b/tests/platform/platform_test.cpp
@@ -0,0 +1,229 @@
+#include "connection/codec_error.hpp"
+#include "platform/adapter.hpp"
+
+#include "connection/http_reader.hpp"
+#include "connection/status_server.hpp"
+#include "process/task.hpp"
+
+#include <arpa/inet.h>
+#include <criterion/criterion.h>
+#include <nlohmann/json.hpp>
+#include <sys/socket.h>
+
+using namespace pistachiopost;
+
+namespace {
+
+message_head head_of(int status, std::vector<header_field> fields)
+{
+    message_head it;
+    it.status = status;
+    it.fields = std::move(fields);
+    return it;
+}
+
+/// A store that answers each call with the next of its bodies.
+class store_fixture
+{
+public:
+    explicit store_fixture(std::vector<std::pair<int, std::string>> answers)
+        : answers_(std::move(answers)), listener_(listen_tcp({"127.0.0.1", 0}))
+    {
+        sockaddr_in addr{};
+        socklen_t n = sizeof addr;
+        getsockname(listener_.get(), reinterpret_cast<sockaddr*>(&addr), &n);
+        address = {"127.0.0.1", ntohs(addr.sin_port)};
+        serving_ = task([this] { serve(); });
+    }
+
+    ~store_fixture() { serving_.join(); }
+
+    endpoint address;
+    std::vector<received_request> requests;
+
+private:
+    void serve()
+    {
+        wait_readable(listener_.get(), -1, steady::now() + seconds{5});
+        tcp_stream stream(accept_tcp(listener_));
+        for (const auto& [status, body] : answers_)
+        {
+            received_request request;
+            if (read_request(stream, {}, -1, request) != request_outcome::complete)
+            {
+                return;
+            }
+            requests.push_back(request);
+            stream.send("HTTP/1.1 " + std::to_string(status) + " x\r\nContent-Length: " +
+                            std::to_string(body.size()) + "\r\n\r\n" + body,
+                        steady::now() + seconds{5});
+        }
+    }
+
+    std::vector<std::pair<int, std::string>> answers_;
+    unique_fd listener_;
+    task serving_;
+};
+
+} // namespace
+
+Test(message_codec_of_platform, request_fields_are_read_into_what_they_hold)
+{
+    message_head head;
+    head.target = "/p/x";
+    head.fields = {{"host", "a.test:80"},   {"request-id", "r1"},
+                   {"Deadline-Ms", "1500"}, {"Token-Count", "1460,80"},
+                   {"Length-Hint", "40"},   {"Api-Key", "k"},
+                   {"Last-Event-Id", "12"}};
+    const auto it = platform::decode_request(head);
+    cr_assert_eq(it.host, "a.test");
+    cr_assert_eq(it.id, "r1");
+    cr_assert_eq(it.time_allowed->count(), 1'500);
+    cr_assert_eq(it.prompt->prompt_tokens, 1'460U);
+    cr_assert_eq(it.prompt->max_output_tokens, 80U);
+    cr_assert_eq(it.prompt->expected_output_tokens.value_or(0), 40U);
+    cr_assert_eq(it.last_event_id.value_or(""), "12");
+}
+
+Test(message_codec_of_platform, fields_that_cannot_be_read_are_left_empty)
+{
+    message_head head;
+    head.fields = {{"Deadline-Ms", "soon"}, {"Token-Count", "12"}};
+    const auto it = platform::decode_request(head);
+    cr_assert_not(it.time_allowed.has_value());
+    cr_assert_not(it.prompt.has_value());
+}
+
+Test(message_codec_of_platform,
+     forwarded_head_drops_fields_of_the_connection_by_whole_names)
+{
+    message_head head;
+    head.method = "GET";
+    head.target = "/x";
+    head.fields = {{"Connection", "close, X-Hop"},
+                   {"X-Hop", "1"},
+                   {"X-Ho", "2"},
+                   {"Transfer-Encoding", "chunked"}};
+    forward_terms terms;
+    terms.backend = "i-1";
+    terms.helpers = {{{"10.0.0.1", 80}, "t1"}, {{"10.0.0.2", 80}, ""}};
+    const auto text = platform::encode_forward(head, terms, 0);
+    cr_assert_eq(text.find("X-Hop"), std::string::npos);
+    cr_assert_neq(text.find("X-Ho: 2\r\n"), std::string::npos);
+    cr_assert_eq(text.find("Transfer-Encoding"), std::string::npos);
+    cr_assert_neq(text.find("Helpers: 10.0.0.1:80/t1,10.0.0.2:80\r\n"),
+                  std::string::npos);
+}
+
+Test(message_codec_of_platform, answers_are_told_apart)
+{
+    const header_field id{"Request-Id", "r1"};
+    const header_field stamp{"Response-Stamp", "s"};
+    const auto kind = [](const message_head& it) {
+        return platform::decode_answer(it, "r1");
+    };
+    cr_assert_eq(kind(head_of(200, {id, stamp})), answer_kind::success);
+    cr_assert_eq(kind(head_of(200, {id})), answer_kind::untrusted);
+    cr_assert_eq(kind(head_of(200, {id, stamp, {"Content-Encoding", "gzip"}})),
+                 answer_kind::untrusted);
+    cr_assert_eq(kind(head_of(200, {{"Request-Id", "r2"}, stamp})), answer_kind::crossed);
+    cr_assert_eq(kind(head_of(503, {{"Not-Run", "1"}})), answer_kind::not_run);
+    cr_assert_eq(kind(head_of(503, {id})), answer_kind::untrusted);
+    cr_assert_eq(kind(head_of(421, {})), answer_kind::moved);
+    cr_assert_eq(kind(head_of(500, {id, stamp})), answer_kind::failure);
+}
+
+Test(configuration_codec, routes_services_and_customers_are_read)
+{
+    const auto table = platform::decode_configuration(
+        R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/a/","kind":"stream",
+        "timeout-ms":10000,"target-latency-ms":300,"priority":1,"max-attempts":2,
+        "traffic-split":[{"service":"s","weight":90},{"service":"t","weight":10}],
+        "sticky":true,"resumable":true,"gap-target-ms":250}],
+        "services":[{"name":"s","max-connections":424,
+        "engine":{"slots":16,"kv-capacity":232000,"read_per_s":206000.0,"stride":43}}],
+        "limits":{"max-header-bytes":100},
+        "tenants":[{"name":"ann","api-keys":["k"],"priority":0}]})");
+    cr_assert_eq(table.version(), 7U);
+    const auto* way = table.find_route("h", "/a/b");
+    cr_assert_eq(way->services.size(), 2U);
+    cr_assert(way->repeatable());
+    cr_assert_eq(table.tightest_gap(), milliseconds{250});
+    cr_assert_float_eq(table.find_service("s")->engine->read_tokens_per_ms, 206, 0.01);
+    cr_assert_eq(table.limits().max_header_bytes, 100U);
+    cr_assert_eq(table.find_customer("k")->priority.value_or(9), 0U);
+}
+
+Test(configuration_codec, broken_document_is_refused_with_its_fault)
+{
+    cr_assert_throw(platform::decode_configuration("{"), codec_error);
+    cr_assert_throw(platform::decode_configuration(R"({"version":"x","routes":[]})"),
+                    codec_error);
+}
+
+Test(configuration_codec, entry_of_another_writer_names_no_backend_server)
+{
+    std::string fault;
+    const auto read = [&](const char* text) {
+        return platform::decode_backend("i-1", text, fault).has_value();
+    };
+    cr_assert(read(R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,
+                       "state":"ready","sequence":1,"born":5})"));
+    cr_assert_not(read("\x01\x02"));
+    cr_assert_not(read(R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,
+                           "state":"sleeping"})"));
+    cr_assert_not(read(R"({"service":"s","address":"somewhere","zone":"z","slots":4,
+                           "state":"ready"})"));
+    cr_assert_not(read(R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":"4",
+                           "state":"ready"})"));
+    cr_assert_not(read(R"({"address":"10.0.0.1:80"})"));
+    cr_assert_not(fault.empty());
+}
+
+Test(memory_orders, reservation_carries_its_size_and_time)
+{
+    const auto it = platform::encode_reserve("t1", 60'000, milliseconds{3'500});
+    const auto body = nlohmann::json::parse(it.body);
+    cr_assert_eq(it.method, "POST");
+    cr_assert_eq(body.at("op"), "reserve");
+    cr_assert_eq(body.at("tokens"), 60'000);
+    cr_assert_eq(body.at("hold-ms"), 3'500);
+    cr_assert_eq(nlohmann::json::parse(platform::encode_release("t1").body).at("op"),
+                 "release");
+}
+
+Test(store_client, table_is_read_over_all_pages_as_of_the_first)
+{
+    store_fixture store(
+        {{200,
+          R"({"rows":[{"key":"a","value":"aGk=","ver":3}],"has-more":true,"ver":9})"},
+         {200,
+          R"({"rows":[{"key":"b","value":"","ver":4}],"has-more":false,"ver":11})"}});
+    platform::store_client client(store.address);
+    const auto batch = client.read_table("t");
+    cr_assert_eq(batch.version, 9U);
+    cr_assert_eq(batch.rows.size(), 2U);
+    cr_assert_eq(batch.rows[0].value, "hi");
+    cr_assert_eq(batch.rows[1].value, "");
+}
+
+Test(store_client, dropped_row_and_lost_history_are_told)
+{
+    store_fixture store(
+        {{200, R"({"rows":[{"key":"a","deleted":true,"ver":5}],"ver":5})"},
+         {410, "{}"},
+         {503, "{}"}});
+    platform::store_client client(store.address);
+    cr_assert(client.wait_for_changes("t", 1, milliseconds{10}).rows.at(0).removed);
+    cr_assert_throw(client.wait_for_changes("t", 1, milliseconds{10}), history_lost);
+    cr_assert_throw(client.wait_for_changes("t", 1, milliseconds{10}), store_error);
+}
+
+Test(store_client, written_value_is_encoded)
+{
+    store_fixture store({{200, R"({"ver":5})"}});
+    platform::store_client client(store.address);
+    client.write_row("t", "k", "hi");
+    const auto body = nlohmann::json::parse(store.requests.at(0).body);
+    cr_assert_eq(body.at("writes").at(0).at("value"), "aGk=");
+}
