Hold a stall against the engine at fault, found by its address

The gateway looked that address up as an identifier, found nothing, and left the engine that had answered out instead: 37 refusals between 18 and 24 s, one prompt stalled four times and was refused. Change: the address finds the backend server; a stall is avoided for 0.8 s at once; until its next answer a backend server reads no parts and runs one request at a time; a single answered failure is not held against it. Ruled out: the store's outage by itself (the list was complete), lack of memory (3 orders, none refused).

--- a/source/connection/forward_attempt.hpp
+++ b/source/connection/forward_attempt.hpp
@@ -35,7 +35,8 @@
     message_head head;       ///< Of an answer that is not a passed-on stream.
     std::string body;        ///< The same.
     std::string fault;       ///< Why there is no answer, for the log.
-    std::string blamed;      ///< Backend server at fault, if not the one that was asked.
+    std::string blamed;      ///< Address at fault, if not that of the one that was asked.
+    int status = 0;          ///< Of the answer, if one began.
     bool silent = false;     ///< The backend server stopped answering.
     bool broken_off = false; ///< The backend server closed or reset the connection.
     std::optional<time_point> first_event;
@@ -168,6 +169,7 @@
             if (answer.has_head() && !seen_head_)
             {
                 seen_head_ = true;
+                result_.status = answer.head().status;
                 result_.kind = Codec::decode_answer(answer.head(), exchange_.request.id);
                 if (const auto early = refused(answer.head()))
                 {
--- a/source/process/backend_roster.cpp
+++ b/source/process/backend_roster.cpp
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <map>
 #include <set>
-#include <tuple>
 
 namespace pistachiopost {
 
@@ -19,6 +18,13 @@
 // Longest pause: about the time in which a crashed backend server is back.
 constexpr milliseconds longest_avoidance{3'000};
 
+// Failures that one stall counts for: eight times the first pause, half of the time for
+// which a dead helper holds a prompt up.
+constexpr std::uint32_t stall_failures = 4;
+// Failures answered in a row that count as a failed attempt: where one request in seven
+// fails by itself, three in a row are one in 300.
+constexpr std::uint32_t doubted_after = 3;
+
 milliseconds avoidance(std::uint32_t failures)
 {
     const auto doublings = std::min(failures - 1, 6U);
@@ -29,28 +35,29 @@
 struct ranked
 {
     std::uint64_t rank;
-    const backend_record* record;
+    roster_entry entry;
 };
 
 /// Orders by rank, availability zones in turn, so that any stretch of the order has
 /// backend servers of all of them.
-std::vector<const backend_record*> alternate_zones(std::vector<ranked> list)
+std::vector<roster_entry> alternate_zones(std::vector<ranked> list)
 {
-    std::sort(list.begin(), list.end(),
-              [](const ranked& a, const ranked& b) { return a.rank < b.rank; });
+    const auto by_rank = [](const ranked& a, const ranked& b) { return a.rank < b.rank; };
+    std::sort(list.begin(), list.end(), by_rank);
     std::map<std::string_view, std::size_t> seen;
-    std::vector<std::tuple<std::size_t, std::uint64_t, const backend_record*>> order;
+    std::vector<std::pair<std::size_t, ranked>> order;
     order.reserve(list.size());
     for (const auto& it : list)
     {
-        order.emplace_back(seen[it.record->zone]++, it.rank, it.record);
+        order.emplace_back(seen[it.entry.backend->zone]++, it);
     }
-    std::sort(order.begin(), order.end());
-    std::vector<const backend_record*> result;
+    std::stable_sort(order.begin(), order.end(),
+                     [](const auto& a, const auto& b) { return a.first < b.first; });
+    std::vector<roster_entry> result;
     result.reserve(order.size());
-    for (const auto& it : order)
+    for (const auto& [turn, it] : order)
     {
-        result.push_back(std::get<2>(it));
+        result.push_back(it.entry);
     }
     return result;
 }
@@ -154,6 +161,25 @@
     }
 }
 
+void backend_roster::answered_failure(std::string_view id, time_point now)
+{
+    const auto it = members_.find(id);
+    if (it != members_.end() && ++it->second.answered_failures >= doubted_after)
+    {
+        it->second.answered_failures = 0;
+        failed(id, now);
+    }
+}
+
+void backend_roster::stalled(std::string_view id, time_point now)
+{
+    if (const auto it = members_.find(id); it != members_.end())
+    {
+        it->second.failures = std::max(it->second.failures, stall_failures - 1);
+        failed(id, now);
+    }
+}
+
 void backend_roster::moved(std::string_view id)
 {
     if (const auto it = members_.find(id); it != members_.end())
@@ -167,11 +193,12 @@
     if (const auto it = members_.find(id); it != members_.end())
     {
         it->second.failures = 0;
+        it->second.answered_failures = 0;
     }
 }
 
-std::vector<const backend_record*> backend_roster::usable(std::string_view service,
-                                                          time_point now) const
+std::vector<roster_entry> backend_roster::usable(std::string_view service,
+                                                 time_point now) const
 {
     std::vector<ranked> good;
     std::vector<ranked> avoided;
@@ -182,7 +209,7 @@
             continue;
         }
         auto& list = it.avoided_until <= now ? good : avoided;
-        list.push_back({it.rank, &it.record});
+        list.push_back({it.rank, {&it.record, it.failures == 0}});
     }
     return alternate_zones(good.empty() ? std::move(avoided) : std::move(good));
 }
--- a/source/process/backend_roster.hpp
+++ b/source/process/backend_roster.hpp
@@ -14,6 +14,13 @@
 
 namespace pistachiopost {
 
+/// A backend server that may get work.
+struct roster_entry
+{
+    const backend_record* backend = nullptr;
+    bool trusted = true; ///< It answered since its last failure.
+};
+
 /// The roster. Not thread-safe: the dispatcher holds a lock.
 class backend_roster
 {
@@ -31,8 +38,14 @@
     /// Takes backend servers out whose time to come back is over.
     void sweep(time_point now);
 
-    /// Counts a failed attempt: the backend server is avoided for a growing time.
+    /// Counts a failed attempt: the backend server is avoided for a growing time, and is
+    /// not trusted until it answers.
     void failed(std::string_view id, time_point now);
+    /// Counts a failure that the backend server answered itself. One may be the request's
+    /// fault; several in a row count as a failed attempt.
+    void answered_failure(std::string_view id, time_point now);
+    /// Counts a backend server whose silence held others up: it is avoided for long.
+    void stalled(std::string_view id, time_point now);
     /// Says that another incarnation has the address.
     void moved(std::string_view id);
     /// Counts an answer: the backend server is no longer avoided.
@@ -40,8 +53,8 @@
 
     /// Returns the backend servers of a service that may get work, in an order that is
     /// the same at all gateways. If all are avoided, returns these.
-    [[nodiscard]] std::vector<const backend_record*> usable(std::string_view service,
-                                                            time_point now) const;
+    [[nodiscard]] std::vector<roster_entry> usable(std::string_view service,
+                                                   time_point now) const;
     /// Returns a backend server by its address; null if none is known there.
     [[nodiscard]] const backend_record* at_address(std::string_view address) const;
     [[nodiscard]] std::size_t size() const { return members_.size(); }
@@ -52,7 +65,8 @@
         backend_record record;
         std::uint64_t rank = 0; ///< Place in the common order.
         std::optional<time_point> gone_at;
-        std::uint32_t failures = 0; ///< In a row.
+        std::uint32_t failures = 0;          ///< In a row.
+        std::uint32_t answered_failures = 0; ///< In a row.
         time_point avoided_until;
     };
 
--- a/source/process/candidate_choice.hpp
+++ b/source/process/candidate_choice.hpp
@@ -9,10 +9,11 @@
 
 namespace pistachiopost {
 
-/// Returns whether a backend server runs fewer requests than it can at once.
+/// Returns whether a backend server runs fewer requests than it can at once. One that is
+/// not trusted is tried with one request at a time.
 inline bool has_slot(const candidate& it)
 {
-    return it.load.requests < it.backend->slots;
+    return it.load.requests < (it.trusted ? it.backend->slots : 1);
 }
 
 /// Returns the candidate with the lowest cost among those that `fits`; null if none does.
--- a/source/process/dispatcher.cpp
+++ b/source/process/dispatcher.cpp
@@ -143,9 +143,9 @@
 {
     roster_.sweep(now);
     std::vector<candidate> candidates;
-    for (const auto* it : roster_.usable(request.service, now))
+    for (const auto& it : roster_.usable(request.service, now))
     {
-        candidates.push_back({it, loads_.at(it->id, now)});
+        candidates.push_back({it.backend, loads_.at(it.backend->id, now), it.trusted});
     }
     return place(request, candidates, zone_);
 }
--- a/source/process/forward_service.hpp
+++ b/source/process/forward_service.hpp
@@ -317,30 +317,53 @@
         {
             state_.crashes.add({run.fingerprint, id}, now);
         }
-        run.tried.push_back(id);
+        if (result.blamed.empty())
+        {
+            run.tried.push_back(id);
+        }
         log_event(log_level::info, "attempt failed",
                   {{"request", run.it.request.id},
                    {"backend", id},
                    {"fault", result.fault},
-                   {"status", static_cast<std::uint64_t>(result.head.status)},
+                   {"status", static_cast<std::uint64_t>(result.status)},
                    {"may_have_run", static_cast<std::uint64_t>(ran)},
                    {"helpers", static_cast<std::uint64_t>(place.helpers.size())},
                    {"blamed", result.blamed}});
         state_.metrics.count("failed_attempts");
-        state_.work.change_roster(now, [&](auto& it) { blame(it, place, result, now); });
+        blame(run, place, result, now);
         return true;
     }
 
-    static void blame(backend_roster& roster, const placement& place,
-                      const attempt_result& result, time_point now)
+    /// Holds a failed attempt against the backend server at fault.
+    void blame(forwarding& run, const placement& place, const attempt_result& result,
+               time_point now)
     {
         const auto& id = place.main.backend.id;
-        if (result.kind == answer_kind::moved && result.blamed.empty())
-        {
-            roster.moved(id);
-            return;
-        }
-        roster.failed(result.blamed.empty() ? id : result.blamed, now);
+        state_.work.change_roster(now, [&](backend_roster& roster) {
+            if (!result.blamed.empty())
+            {
+                // A helper held it up: the engine that was asked is sound.
+                const auto* helper = roster.at_address(result.blamed);
+                run.tried.push_back(helper != nullptr ? helper->id : id);
+                roster.stalled(run.tried.back(), now);
+            }
+            else if (result.kind == answer_kind::moved)
+            {
+                roster.moved(id);
+            }
+            else if (result.end == attempt_end::answered)
+            {
+                roster.answered_failure(id, now);
+            }
+            else if (result.silent)
+            {
+                roster.stalled(id, now);
+            }
+            else
+            {
+                roster.failed(id, now);
+            }
+        });
     }
 
     bool deliver(forwarding& run, const attempt_result& result)
--- a/source/process/prompt_parts.cpp
+++ b/source/process/prompt_parts.cpp
@@ -96,10 +96,14 @@
             return shared;
         }
     }
+    const bool is_long = is_long_read(request);
+    const auto may_run = [&](const candidate& it) {
+        return has_slot(it) && (it.trusted || !is_long);
+    };
     const auto* main = cheapest(
-        pool, [&](const candidate& it) { return fits(request, it); },
+        pool, [&](const candidate& it) { return may_run(it) && fits(request, it); },
         [&](const candidate& it) { return cost_of(request, it, zone); });
-    return main != nullptr ? main : cheapest(pool, has_slot, [](const candidate& it) {
+    return main != nullptr ? main : cheapest(pool, may_run, [](const candidate& it) {
         return static_cast<double>(it.load.memory_tokens);
     });
 }
@@ -118,7 +122,7 @@
     reader_list readers;
     for (const auto& it : pool)
     {
-        if (&it == main || (is_long && it.load.requests > 0))
+        if (&it == main || !it.trusted || (is_long && it.load.requests > 0))
         {
             continue;
         }
--- a/tests/gateway/gateway_stream_test.cpp
+++ b/tests/gateway/gateway_stream_test.cpp
@@ -128,3 +128,28 @@
     cr_assert_eq(operations, (std::vector<std::string>{"reserve", "release"}));
     cr_assert_neq(helpers.find('/'), std::string::npos, "a reservation is named");
 }
+
+Test(gateway_stream, engine_named_at_fault_is_avoided_and_not_the_one_that_says_so)
+{
+    const endpoint dead{"127.0.0.1", 1};
+    std::atomic<int> count = 0;
+    const scripted_backend server([&](auto& stream, const auto& request) {
+        if (++count == 1)
+        {
+            say(stream, "HTTP/1.1 503 x\r\nNot-Run: 1\r\nAt-Server: 127.0.0.1:1\r\n"
+                        "Content-Length: 0\r\n\r\n");
+            return;
+        }
+        answer_events(stream, request, 1, 1);
+    });
+    gateway_fixture gateway;
+    gateway.add(server, "i-1", "model");
+    const backend_record helper{"i-2", "other", dead, "z", 4, false, 1};
+    gateway.state->work.change_roster(steady::now(),
+                                      [&](auto& it) { it.put(helper, steady::now()); });
+    cr_assert(gateway.ask("/stream/x", prompt(1'000)).whole);
+    gateway.state->work.change_roster(steady::now(), [&](auto& it) {
+        cr_assert(it.usable("model", steady::now()).at(0).trusted);
+        cr_assert_not(it.usable("other", steady::now()).at(0).trusted);
+    });
+}
--- a/tests/process/backend_roster_test.cpp
+++ b/tests/process/backend_roster_test.cpp
@@ -103,3 +103,45 @@
     it.roster.moved("i-1");
     cr_assert_eq(it.usable(start), 1U);
 }
+
+Test(backend_roster, stalled_backend_server_is_avoided_at_once_for_long)
+{
+    roster_fixture it;
+    it.roster.stalled("i-1", start);
+    cr_assert_eq(it.usable(start + milliseconds{700}), 1U);
+    cr_assert_eq(it.usable(start + milliseconds{800}), 2U);
+}
+
+Test(backend_roster, failure_leaves_doubt_until_the_next_answer)
+{
+    roster_fixture it;
+    it.roster.failed("i-1", start);
+    const auto doubted = [&] {
+        std::size_t n = 0;
+        for (const auto& one : it.roster.usable("model", start + seconds{1}))
+        {
+            n += one.trusted ? 0 : 1;
+        }
+        return n;
+    };
+    cr_assert_eq(doubted(), 1U);
+    it.roster.answered("i-1");
+    cr_assert_eq(doubted(), 0U);
+}
+
+Test(backend_roster, single_answered_failure_is_not_held_against_the_backend_server)
+{
+    roster_fixture it;
+    it.roster.answered_failure("i-1", start);
+    it.roster.answered_failure("i-1", start);
+    cr_assert_eq(it.usable(start), 2U);
+    it.roster.answered_failure("i-1", start);
+    cr_assert_eq(it.usable(start), 1U);
+}
+
+Test(backend_roster, backend_server_is_found_by_its_address)
+{
+    roster_fixture it;
+    cr_assert_not_null(it.roster.at_address("10.0.0.1:80"));
+    cr_assert_null(it.roster.at_address("10.0.0.1:81"));
+}
--- a/tests/process/placement_test.cpp
+++ b/tests/process/placement_test.cpp
@@ -80,6 +80,27 @@
     }
 }
 
+Test(placement, engine_in_doubt_reads_no_part_and_runs_one_short_prompt)
+{
+    placement_fixture it;
+    for (auto& one : it.engines)
+    {
+        one.trusted = one.backend->id != "i-3";
+    }
+    const auto place = pistachiopost::place(it.request(300'000), it.engines, "near");
+    cr_assert(place.has_value());
+    cr_assert_neq(place->main.backend.id, "i-3");
+    for (const auto& part : place->helpers)
+    {
+        cr_assert_neq(part.backend.id, "i-3");
+    }
+    const std::vector<candidate> alone{it.engines[3]};
+    cr_assert(pistachiopost::place(it.request(5'000), alone, "near").has_value());
+    auto busy = alone;
+    busy[0].load.requests = 1;
+    cr_assert_not(pistachiopost::place(it.request(5'000), busy, "near").has_value());
+}
+
 Test(placement, huge_prompt_waits_for_more_readers_than_a_few)
 {
     placement_fixture it;
