Repeats shared among the gateways that are known; log lines with what decided them

The line of a refused request did not say what it had waited for. Change: the slack is shared among the gateways known from their table, at least four, 0.6 of it used; 'no place in time' and 'not repeated' carry their inputs; the log lines, the held place and the request between attempts have files of their own.

--- a/source/connection/gateway_connection.hpp
+++ b/source/connection/gateway_connection.hpp
@@ -62,10 +62,8 @@
                 refuse_unread(stream, outcome, now);
                 return;
             }
-            ++state.requests;
             const bool close = state.stopping || !request.keep_alive;
             keep = service.serve(request, stream, close, now) && !close;
-            --state.requests;
         }
         stream.shutdown_write();
     }
--- a/source/process/dispatcher.cpp
+++ b/source/process/dispatcher.cpp
@@ -132,10 +132,21 @@
     return it;
 }
 
-std::size_t dispatcher::gateways(time_point now) const
+line_state dispatcher::describe(std::string_view service, time_point now) const
 {
     const std::lock_guard lock(mutex_);
-    return loads_.gateways(now);
+    line_state it;
+    it.waiting = line_.size();
+    it.gateways = loads_.gateways(now);
+    for (const auto& [backend, trusted] : roster_.usable(service, now))
+    {
+        const double backlog = loads_.at(backend->id, now).read_ms;
+        it.least_backlog_ms =
+            it.backends == 0 ? backlog : std::min(it.least_backlog_ms, backlog);
+        ++it.backends;
+        it.trusted += trusted ? 1 : 0;
+    }
+    return it;
 }
 
 std::optional<placement> dispatcher::find_place(const placement_request& request,
--- a/source/process/dispatcher.hpp
+++ b/source/process/dispatcher.hpp
@@ -38,6 +38,16 @@
     unique_fd wake_;
 };
 
+/// What the line for a service looks like, for the log.
+struct line_state
+{
+    std::size_t waiting = 0;
+    std::size_t backends = 0; ///< That may get work.
+    std::size_t trusted = 0;  ///< Those of them that answered last.
+    std::size_t gateways = 0; ///< Heard lately, this one included.
+    double least_backlog_ms = 0;
+};
+
 /// The dispatcher of a gateway. Thread-safe.
 class dispatcher
 {
@@ -75,7 +85,8 @@
     void wait_for_news(milliseconds longest);
     /// Returns what this gateway tells its peers; names and counts are left empty.
     [[nodiscard]] load_report_message report(time_point now) const;
-    [[nodiscard]] std::size_t gateways(time_point now) const;
+    /// Returns what the line for `service` looks like.
+    [[nodiscard]] line_state describe(std::string_view service, time_point now) const;
 
 private:
     std::optional<placement> find_place(const placement_request& request, time_point now);
--- a/source/process/forward_service.hpp
+++ b/source/process/forward_service.hpp
@@ -3,8 +3,10 @@
 #pragma once
 
 #include "connection/forward_attempt.hpp"
+#include "process/forward_log.hpp"
 #include "process/gateway_state.hpp"
-#include "request/repeat_decision.hpp"
+#include "process/held_place.hpp"
+#include "request/forwarding.hpp"
 
 #include <algorithm>
 #include <memory>
@@ -13,38 +15,6 @@
 
 namespace pistachiopost {
 
-/// A place at a backend server, given back at the end of the attempt.
-class held_place
-{
-public:
-    held_place(dispatcher& work, placement place) : work_(work), place_(std::move(place))
-    {
-    }
-    held_place(const held_place&) = delete;
-    held_place& operator=(const held_place&) = delete;
-    ~held_place()
-    {
-        reading_done();
-        work_.release(place_, steady::now());
-    }
-
-    /// Says that the first event was seen. Further calls do nothing.
-    void reading_done()
-    {
-        if (!std::exchange(reading_done_, true))
-        {
-            work_.reading_done(place_, steady::now());
-        }
-    }
-
-    [[nodiscard]] const placement& get() const { return place_; }
-
-private:
-    dispatcher& work_;
-    placement place_;
-    bool reading_done_ = false;
-};
-
 /// Returns the service that the request `id` goes to, by the weights of the route. The
 /// same request always goes to the same one.
 std::string_view choose_service(const route& way, std::string_view id);
@@ -125,26 +95,6 @@
     // Least pause before a refused request is worth sending again.
     static constexpr milliseconds least_retry_after{100};
 
-    /// One request between its attempts.
-    struct forwarding
-    {
-        exchange& it;
-        const route_table& table;
-        std::string customer;
-        time_point arrived;
-        std::uint32_t priority = 0;
-        std::uint64_t fingerprint = 0;
-        attempt_history history{};
-        std::vector<std::string> tried{};
-        std::vector<std::string> full{};
-        bool out_of_time = false;
-        std::string last_fault{};
-        std::optional<time_point> first_event{};
-        milliseconds longest_pause{0};
-        steady::duration waited{0};
-        placement last_place{};
-    };
-
     bool run_attempts(forwarding& run)
     {
         const auto service = choose_service(run.it.way, run.it.request.id);
@@ -205,6 +155,18 @@
         }
     }
 
+    bool spend_repeat(const forwarding& run, std::string_view service)
+    {
+        if (state_.budgets.try_spend(service, steady::now()))
+        {
+            return true;
+        }
+        state_.metrics.count("repeats_over_budget");
+        log_event(log_level::info, "not repeated: the budget is spent",
+                  {{"request", run.it.request.id}, {"service", service}});
+        return false;
+    }
+
     /// Waits for a place; nothing if the caller left or the time is over.
     std::optional<placement> take_place(forwarding& run, const placement_request& wanted)
     {
@@ -225,8 +187,14 @@
             if (woken != wait_result::second)
             {
                 run.out_of_time = woken == wait_result::timeout;
-                run.last_fault = "no place at a backend server in time";
-                return state_.work.leave(waiter, steady::now());
+                auto place = state_.work.leave(waiter, steady::now());
+                if (!place)
+                {
+                    run.last_fault = "no place at a backend server in time";
+                    log_no_place(run, wanted,
+                                 state_.work.describe(wanted.service, steady::now()));
+                }
+                return place;
             }
             if (peer_closed(caller))
             {
@@ -321,14 +289,7 @@
         {
             run.tried.push_back(id);
         }
-        log_event(log_level::info, "attempt failed",
-                  {{"request", run.it.request.id},
-                   {"backend", id},
-                   {"fault", result.fault},
-                   {"status", static_cast<std::uint64_t>(result.status)},
-                   {"may_have_run", static_cast<std::uint64_t>(ran)},
-                   {"helpers", static_cast<std::uint64_t>(place.helpers.size())},
-                   {"blamed", result.blamed}});
+        log_attempt_failed(run, place, result);
         state_.metrics.count("failed_attempts");
         blame(run, place, result, now);
         return true;
@@ -412,31 +373,8 @@
 
     bool finish(const forwarding& run, std::string_view outcome, bool keep)
     {
-        const auto now = steady::now();
-        const auto ms = [](steady::duration it) {
-            return std::chrono::duration<double, std::milli>(it).count();
-        };
         state_.metrics.ended(outcome);
-        log_event(log_level::info, "request ended",
-                  {{"request", run.it.request.id},
-                   {"outcome", outcome},
-                   {"customer", run.customer},
-                   {"route", run.it.way.name},
-                   {"configuration", run.table.version()},
-                   {"prompt_tokens",
-                    run.it.request.prompt ? run.it.request.prompt->prompt_tokens : 0},
-                   {"may_have_run", static_cast<std::uint64_t>(run.history.may_have_run)},
-                   {"not_run", static_cast<std::uint64_t>(run.history.not_run)},
-                   {"first_event_ms",
-                    run.first_event ? ms(*run.first_event - run.arrived) : 0.0},
-                   {"expected_ms", run.last_place.first_event_ms},
-                   {"waited_ms", ms(run.waited)},
-                   {"longest_pause_ms", ms(run.longest_pause)},
-                   {"total_ms", ms(now - run.arrived)},
-                   {"backend", run.last_place.main.backend.id},
-                   {"long_pool", static_cast<std::uint64_t>(run.last_place.long_pool)},
-                   {"helpers", static_cast<std::uint64_t>(run.last_place.helpers.size())},
-                   {"fault", run.last_fault}});
+        log_ended(run, outcome, steady::now());
         return keep;
     }
 
@@ -446,12 +384,7 @@
     {
         response.send_own(status, reason, retry_after);
         state_.metrics.ended(outcome);
-        log_event(log_level::info, "request refused",
-                  {{"request", request.id},
-                   {"outcome", outcome},
-                   {"configuration", state_.routes.version()},
-                   {"host", request.host},
-                   {"path", request.path}});
+        log_refused(request, outcome, state_.routes.version());
         return !response.closes();
     }
 
--- a/source/process/gateway_process.hpp
+++ b/source/process/gateway_process.hpp
@@ -32,7 +32,15 @@
     {
         task::start_detached(
             [&state, shared] {
-                serve_gateway_connection<Codec>(state, std::move(*shared));
+                try
+                {
+                    serve_gateway_connection<Codec>(state, std::move(*shared));
+                }
+                catch (const std::exception& it) // for instance out of memory
+                {
+                    log_event(log_level::error, "connection given up",
+                              {{"fault", it.what()}});
+                }
                 --state.connections;
             },
             task_stack_bytes);
@@ -108,8 +116,10 @@
     peer_link peers(settings.self.vm, settings.peers, state.work, state.crashes);
     configuration_follower<codec> configurations(state);
     backend_follower<codec> backends(state);
-    peer_follower gateways(settings.self.vm,
-                           [&](const auto& it) { peers.set_peers(it); });
+    peer_follower gateways(settings.self.vm, [&](const auto& it) {
+        peers.set_peers(it);
+        state.budgets.share_among(it.size() + 1);
+    });
     stop_flag stop;
     stop_flag draining; // never set: drain() only waits on it
     const auto end_fd = open_event_fd();
--- a/source/process/gateway_state.hpp
+++ b/source/process/gateway_state.hpp
@@ -33,7 +33,6 @@
     std::atomic<bool> stopping = false; ///< A stop signal has arrived.
     std::atomic<bool> knows_backends = false;
     std::atomic<std::size_t> connections = 0;
-    std::atomic<std::size_t> requests = 0; ///< Being served now.
 
     /// Returns whether new connections are welcome.
     [[nodiscard]] bool ready() const
--- a/source/process/service_budgets.cpp
+++ b/source/process/service_budgets.cpp
@@ -4,15 +4,24 @@
 
 namespace {
 
-// Gateways that the slack is divided among: twice the largest number of gateways of
-// today's deployments, spare VMs included, as no gateway knows for sure how many run.
-constexpr double slack_parts = 12;
+// Share of the slack that is used: the rest covers gateways that are not known yet.
+constexpr double used_slack = 0.6;
 // Share of the allowed ratio that is used; the rest covers requests that were counted in
 // an earlier window.
 constexpr double used_ratio = 0.75;
 
 } // namespace
 
+void service_budgets::share_among(std::size_t gateways)
+{
+    const std::lock_guard lock(mutex_);
+    if (gateways > gateways_)
+    {
+        gateways_ = gateways;
+        budgets_.clear(); // made anew with smaller shares
+    }
+}
+
 void service_budgets::earn(std::string_view service, time_point now)
 {
     const std::lock_guard lock(mutex_);
@@ -33,7 +42,7 @@
         return known->second;
     }
     // Half of the slack may be saved up, the other half comes back over a window.
-    const double share = limits_.slack / slack_parts;
+    const double share = limits_.slack * used_slack / static_cast<double>(gateways_);
     const double window_s = std::chrono::duration<double>(limits_.window).count();
     return budgets_
         .try_emplace(std::string(service), limits_.ratio * used_ratio,
--- a/source/process/service_budgets.hpp
+++ b/source/process/service_budgets.hpp
@@ -25,16 +25,24 @@
 public:
     explicit service_budgets(const repeat_limits& limits) : limits_(limits) {}
 
+    /// Says how many gateways are known to share the bound. The number only grows: a
+    /// gateway that is not heard may still run.
+    void share_among(std::size_t gateways);
     /// Counts a request for a service.
     void earn(std::string_view service, time_point now);
     /// Takes one repeat; false if this gateway's share is spent.
     bool try_spend(std::string_view service, time_point now);
 
 private:
+    // Gateways that the slack is divided among before more are known: the entry VMs of
+    // today's deployments and a spare one.
+    static constexpr std::size_t least_gateways = 4;
+
     retry_budget& of(std::string_view service, time_point now);
 
     std::mutex mutex_;
     repeat_limits limits_;
+    std::size_t gateways_ = least_gateways;
     std::map<std::string, retry_budget, std::less<>> budgets_;
 };
 
