--- a/source/process/dispatcher.cpp
+++ b/source/process/dispatcher.cpp
@@ -17,6 +17,10 @@
 // its shorter prompts stop passing the other's longer ones: two usual long prompts.
 constexpr double lead_ms = 4'000;
 
+// Times its target after which a request takes fewer engines than it should rather than
+// none: it is late by then, and its caller leaves at four times the target.
+constexpr int impatient_after = 2;
+
 double cost_of(const placement& place)
 {
     // A place also costs its share of the steps; one pass is the smallest unit.
@@ -140,10 +144,11 @@
     it.gateways = loads_.gateways(now);
     for (const auto& [backend, trusted] : roster_.usable(service, now))
     {
-        const double backlog = loads_.at(backend->id, now).read_ms;
+        const auto load = loads_.at(backend->id, now);
         it.least_backlog_ms =
-            it.backends == 0 ? backlog : std::min(it.least_backlog_ms, backlog);
+            it.backends == 0 ? load.read_ms : std::min(it.least_backlog_ms, load.read_ms);
         ++it.backends;
+        it.with_slot += load.requests < backend->slots ? 1 : 0;
         it.trusted += trusted ? 1 : 0;
     }
     return it;
@@ -228,7 +233,9 @@
     for (auto it = line_.begin(); it != line_.end();)
     {
         auto& waiter = **it;
-        waiter.place_ = find_place(*waiter.request_, now);
+        auto request = *waiter.request_;
+        request.impatient = now - waiter.arrived_ >= waiter.target() * impatient_after;
+        waiter.place_ = find_place(request, now);
         if (!waiter.place_)
         {
             ++it;
--- a/source/process/dispatcher.hpp
+++ b/source/process/dispatcher.hpp
@@ -29,6 +29,8 @@
 private:
     friend class dispatcher;
 
+    [[nodiscard]] steady::duration target() const { return on_time_until_ - arrived_; }
+
     std::string_view customer_;
     const placement_request* request_;
     time_point arrived_;
@@ -42,9 +44,10 @@
 struct line_state
 {
     std::size_t waiting = 0;
-    std::size_t backends = 0; ///< That may get work.
-    std::size_t trusted = 0;  ///< Those of them that answered last.
-    std::size_t gateways = 0; ///< Heard lately, this one included.
+    std::size_t backends = 0;  ///< That may get work.
+    std::size_t trusted = 0;   ///< Those of them that answered last.
+    std::size_t with_slot = 0; ///< Those of them that run fewer requests than they can.
+    std::size_t gateways = 0;  ///< Heard lately, this one included.
     double least_backlog_ms = 0;
 };
 
--- a/source/process/placement.hpp
+++ b/source/process/placement.hpp
@@ -27,6 +27,7 @@
     milliseconds tightest_gap{0};         ///< Shortest pause between events on any route.
     std::uint64_t prompt_tokens = 0;
     std::uint64_t output_tokens = 0;
+    bool impatient = false; ///< It has waited long: takes fewer engines than it should.
     std::span<const std::string> excluded; ///< Backend servers that failed this request.
     std::span<const std::string> full; ///< Backend servers without memory to set aside.
 };
--- a/source/process/prompt_parts.cpp
+++ b/source/process/prompt_parts.cpp
@@ -148,7 +148,7 @@
                     std::size_t pool_size)
 {
     const double share = static_cast<double>(wanted) * least_parts;
-    if (!is_long_read(request))
+    if (!is_long_read(request) || request.impatient)
     {
         return share;
     }
--- a/source/process/settings.hpp
+++ b/source/process/settings.hpp
@@ -79,15 +79,14 @@
 struct gateway_settings
 {
     identity self;
-    endpoint listen;    ///< Callers.
-    endpoint readiness; ///< The balancer's questions.
-    endpoint metrics;   ///< Collectors of metrics.
-    endpoint peers;     ///< UDP messages of the other gateways.
-    endpoint store;     ///< The platform's store.
-    std::uint32_t max_connections = 2'000;
+    endpoint listen;                       ///< Callers.
+    endpoint readiness;                    ///< The balancer's questions.
+    endpoint metrics;                      ///< Collectors of metrics.
+    endpoint peers;                        ///< UDP messages of the other gateways.
+    endpoint store;                        ///< The platform's store.
+    std::uint32_t max_connections = 1'300; ///< A third of the descriptors of an entry VM.
     repeat_limits repeats;
     milliseconds stop_grace{8'000}; ///< From the stop signal to the kill.
-    milliseconds drain_time{2'000}; ///< In which a leaving backend server still serves.
 };
 
 /// Settings of any role.
--- a/source/process/settings_document.cpp
+++ b/source/process/settings_document.cpp
@@ -180,7 +180,6 @@
     it.repeats.slack = in.number("repeat_slack", {0, 1e6}, it.repeats.slack);
     it.repeats.window = read_time(in, "repeat_window_ms", it.repeats.window);
     it.stop_grace = read_time(in, "stop_grace_ms", it.stop_grace);
-    it.drain_time = read_time(in, "drain_time_ms", it.drain_time);
     in.finish();
     return it;
 }
