--- a/source/process/gateway_process.hpp
+++ b/source/process/gateway_process.hpp
@@ -17,6 +17,12 @@
 /// Table in which each gateway says where the others reach it.
 inline constexpr std::string_view gateways_table = "pistachiopost-gateways";
 
+/// Time in which changes of the list of backend servers are gathered: they come one by
+/// one when many start, and a leaving one may get work for two seconds.
+inline constexpr milliseconds backends_settle{300};
+/// The same for the gateways' own table, which nothing hurries.
+inline constexpr milliseconds gateways_settle{1'000};
+
 /// Serves one accepted connection on a task of its own.
 template <typename Codec>
 void start_connection(gateway_state& state, unique_fd sock)
@@ -128,11 +134,13 @@
         watch_table(store(settings.store), codec::operator_table, configurations, stop);
     });
     task follow_backends([&] {
-        watch_table(store(settings.store), codec::backends_table, backends, stop);
+        watch_table(store(settings.store), codec::backends_table, backends, stop,
+                    backends_settle);
     });
     task follow_gateways([&] {
         announce(store(settings.store), settings, stop);
-        watch_table(store(settings.store), gateways_table, gateways, stop);
+        watch_table(store(settings.store), gateways_table, gateways, stop,
+                    gateways_settle);
     });
     task send_load([&] { peers.run_sender(stop); });
     task hear_load([&] { peers.run_receiver(end_fd.get()); });
--- a/source/process/store_watch.hpp
+++ b/source/process/store_watch.hpp
@@ -58,9 +58,12 @@
 };
 
 /// Reads `table` once and then follows its changes until `stop`. A table is read anew
-/// only after its history was lost; an older state than the last one is dropped.
+/// only after its history was lost; an older state than the last one is dropped. After a
+/// change, `settle` passes before the next call, which then brings all that came
+/// meanwhile.
 template <row_store Store, row_follower Follower>
-void watch_table(Store store, std::string_view table, Follower& follower, stop_flag& stop)
+void watch_table(Store store, std::string_view table, Follower& follower, stop_flag& stop,
+                 milliseconds settle = milliseconds{0})
 {
     // The store allows 30 s; a silent connection shows by its keep-alive probes.
     constexpr milliseconds wait{25'000};
@@ -93,6 +96,7 @@
             version = batch.version;
             whole ? follower.take_changes(batch, now) : follower.take_table(batch, now);
             whole = true;
+            stop.wait_for(settle);
         }
         catch (const history_lost& it)
         {
--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -28,7 +28,7 @@
 public:
     using script = std::function<void(tcp_stream&, const received_request&)>;
 
-    explicit scripted_backend(script answer)
+    explicit scripted_backend(const script& answer)
         : listener_(listen_tcp({"127.0.0.1", 0})), stop_(open_event_fd()),
           serving_([this, answer] { serve(answer); })
     {
--- a/tests/process/gateway_limits_test.cpp
+++ b/tests/process/gateway_limits_test.cpp
@@ -88,6 +88,17 @@
     cr_assert_eq(follower.seen, (std::vector<std::uint64_t>{3, 4, 5}));
 }
 
+Test(store_watch, changes_are_gathered_for_the_time_to_settle)
+{
+    played_store::play play;
+    play.answers = {at_version(3), at_version(4), at_version(5)};
+    recording_follower follower;
+    const auto began = steady::now();
+    watch_table(played_store(play), "t", follower, play.stop, milliseconds{20});
+    cr_assert_geq(steady::now() - began, milliseconds{40});
+    cr_assert_eq(follower.seen.size(), 3U);
+}
+
 Test(store_watch, older_state_is_dropped)
 {
     played_store::play play;
