--- a/source/connection/peer_link.cpp
+++ b/source/connection/peer_link.cpp
@@ -4,7 +4,6 @@
 #include "connection/tcp_stream.hpp"
 #include "process/logging.hpp"
 
-#include <arpa/inet.h>
 #include <netinet/in.h>
 #include <nlohmann/json.hpp>
 #include <sys/socket.h>
@@ -28,18 +27,6 @@
 constexpr milliseconds idle_interval{500};
 constexpr std::size_t max_datagram = 32'768; // bytes; 600 backend servers fit
 
-sockaddr_in to_sockaddr(const endpoint& where)
-{
-    sockaddr_in addr{};
-    addr.sin_family = AF_INET;
-    addr.sin_port = htons(where.port);
-    if (inet_pton(AF_INET, where.address.c_str(), &addr.sin_addr) != 1)
-    {
-        throw connection_error("not an IPv4 address: " + where.address);
-    }
-    return addr;
-}
-
 json encode_loads(const load_report_message& message)
 {
     auto loads = json::array();
--- a/source/connection/unique_fd.cpp
+++ b/source/connection/unique_fd.cpp
@@ -10,6 +10,7 @@
 #include <unistd.h>
 
 #include <cerrno>
+#include <charconv>
 #include <cstring>
 
 namespace pistachiopost {
@@ -26,18 +27,6 @@
                             std::strerror(code));
 }
 
-sockaddr_in to_sockaddr(const endpoint& where)
-{
-    sockaddr_in addr{};
-    addr.sin_family = AF_INET;
-    addr.sin_port = htons(where.port);
-    if (inet_pton(AF_INET, where.address.c_str(), &addr.sin_addr) != 1)
-    {
-        throw connection_error("not an IPv4 address: " + where.address);
-    }
-    return addr;
-}
-
 void tune(int fd)
 {
     const int on = 1;
@@ -70,6 +59,36 @@
     return where.address + ":" + std::to_string(where.port);
 }
 
+sockaddr_in to_sockaddr(const endpoint& where)
+{
+    sockaddr_in addr{};
+    addr.sin_family = AF_INET;
+    addr.sin_port = htons(where.port);
+    if (inet_pton(AF_INET, where.address.c_str(), &addr.sin_addr) != 1)
+    {
+        throw connection_error("not an IPv4 address: " + where.address);
+    }
+    return addr;
+}
+
+std::optional<endpoint> parse_endpoint(std::string_view text)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string_view::npos)
+    {
+        return std::nullopt;
+    }
+    endpoint it;
+    it.address = text.substr(0, colon);
+    const auto port = text.substr(colon + 1);
+    const auto* last = port.data() + port.size();
+    const auto [end, ec] = std::from_chars(port.data(), last, it.port);
+    in_addr parsed{};
+    const bool valid = ec == std::errc() && end == last && it.port != 0 &&
+                       inet_pton(AF_INET, it.address.c_str(), &parsed) == 1;
+    return valid ? std::optional(it) : std::nullopt;
+}
+
 unique_fd open_event_fd()
 {
     unique_fd fd(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC));
--- a/source/connection/unique_fd.hpp
+++ b/source/connection/unique_fd.hpp
@@ -5,6 +5,8 @@
 #include "connection/connection_error.hpp"
 
 #include <cstdint>
+#include <netinet/in.h>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -46,6 +48,10 @@
 
 /// Returns "ADDRESS:PORT".
 std::string to_string(const endpoint& where);
+/// Reads "ADDRESS:PORT"; nothing if it is not an IPv4 address and a port.
+std::optional<endpoint> parse_endpoint(std::string_view text);
+/// Returns the form that socket calls take. Throws connection_error.
+sockaddr_in to_sockaddr(const endpoint& where);
 
 /// Opens an event descriptor. Throws connection_error if the process has no
 /// descriptor left.
--- a/source/process/forward_service.cpp
+++ b/source/process/forward_service.cpp
@@ -18,8 +18,7 @@
 // Shares of a caller's patience after which a waiting request is urgent, and after which
 // it is refused so that the caller can come back while it has time left.
 constexpr double urgent_share = 0.2;
-const double longest_share =
-    std::getenv("LONGEST") ? std::atof(std::getenv("LONGEST")) : 0.7;
+constexpr double longest_share = 0.7;
 // Estimates of the time to the first event may be this much too low.
 constexpr double estimate_slack = 2;
 
--- a/source/process/settings_document.cpp
+++ b/source/process/settings_document.cpp
@@ -6,7 +6,6 @@
 #include <nlohmann/json.hpp>
 
 #include <array>
-#include <cstdlib>
 #include <fstream>
 #include <iterator>
 
@@ -148,20 +147,12 @@
 
 endpoint read_address(json_reader& in, std::string_view name)
 {
-    const auto text = in.text(name);
-    const auto colon = text.find(':');
-    endpoint it;
-    it.address = text.substr(0, colon);
-    in_addr parsed{};
-    const auto port = colon == std::string::npos ? std::string() : text.substr(colon + 1);
-    const auto number = std::strtoul(port.c_str(), nullptr, 10);
-    if (number == 0 || number > 65'535 ||
-        inet_pton(AF_INET, it.address.c_str(), &parsed) != 1)
+    const auto it = parse_endpoint(in.text(name));
+    if (!it)
     {
         in.fault(name, "must be an IPv4 address and a port such as 127.0.0.1:7100");
     }
-    it.port = static_cast<std::uint16_t>(number);
-    return it;
+    return it.value_or(endpoint());
 }
 
 gateway_settings read_gateway(json_reader& root)
--- a/tests/process/settings_test.cpp
+++ b/tests/process/settings_test.cpp
@@ -69,3 +69,25 @@
 {
     cr_assert(has(faults_of("{"), "/", "not JSON"));
 }
+
+Test(settings, gateway_with_addresses_is_read_and_a_bad_one_is_named)
+{
+    const std::string text = R"({"role":"gateway","vm":"v","zone":"z","region":"r",
+        "listen":"127.0.0.1:7100","readiness":"127.0.0.1:7101","metrics":"127.0.0.1:7102",
+        "peers":"127.0.0.1:7103","store":"127.0.0.1:7104",
+        "limits":{"repeat_ratio":0.2,"stop_grace_ms":8000}})";
+    const auto read = parse_settings(text);
+    cr_assert_eq(std::get<gateway_settings>(read).store.port, 7'104);
+    auto broken = text;
+    broken.replace(broken.find("127.0.0.1:7103"), 14, "somewhere:7103");
+    try
+    {
+        parse_settings(broken);
+        cr_assert_fail("a bad address was taken");
+    }
+    catch (const settings_error& it)
+    {
+        cr_assert_eq(it.faults().size(), 1U);
+        cr_assert_eq(it.faults()[0].path, "/peers");
+    }
+}
