The stand-ins' fleet keeps standard output of its processes in their log files

Cause: logs moved to standard output and mixed with the demo's table, 24 lines of 33. Change: the fleet redirects both streams to the process's log file. Ruled out: quieter logs.

--- a/tests/standins/fleet.cpp
+++ b/tests/standins/fleet.cpp
@@ -183,6 +183,7 @@
     if (it.pid == 0)
     {
         const int fd = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+        ::dup2(fd, STDOUT_FILENO);
         ::dup2(fd, STDERR_FILENO);
         ::execv(words[0], words.data());
         ::_exit(127);
