Settings of a gateway are reloaded while it runs

Cause: SIGHUP and changed settings files were logged and ignored. Change: a gateway looks at its file on SIGHUP and once a second, takes over the log level and the limits, names what needs a restart, and keeps the old settings if the new ones have faults. A repeat that the budget refuses is logged again: the method that logs it had no caller. Ruled out: inotify, which the platform does not have.

--- a/source/main.cpp
+++ b/source/main.cpp
@@ -188,7 +188,7 @@
     {
         return run_agent(*it);
     }
-    return run_gateway<platform::adapter>(std::get<gateway_settings>(checked));
+    return run_gateway<platform::adapter>(std::get<gateway_settings>(checked), path);
 }
 
 int run_as_operator(const std::vector<std::string>& words)
--- a/source/process/forward_service.hpp
+++ b/source/process/forward_service.hpp
@@ -142,7 +142,7 @@
             const bool again =
                 learn(run, held.get(), result) &&
                 may_repeat(run.it.way, run.history, steady::now(), run.it.until) &&
-                state_.budgets.try_spend(service, steady::now());
+                spend_repeat(run, service);
             if (!again && result.end == attempt_end::answered)
             {
                 return deliver(run, result);
--- a/source/process/gateway_process.hpp
+++ b/source/process/gateway_process.hpp
@@ -6,6 +6,7 @@
 #include "connection/peer_link.hpp"
 #include "connection/status_server.hpp"
 #include "process/platform_followers.hpp"
+#include "process/settings_reload.hpp"
 #include "process/store_watch.hpp"
 #include "process/task.hpp"
 
@@ -23,11 +24,14 @@
 /// The same for the gateways' own table, which nothing hurries.
 inline constexpr milliseconds gateways_settle{1'000};
 
+/// Time between looks at the settings file, which may change without a signal.
+inline constexpr milliseconds settings_look{1'000};
+
 /// Serves one accepted connection on a task of its own.
 template <typename Codec>
 void start_connection(gateway_state& state, unique_fd sock)
 {
-    if (state.connections >= state.settings.max_connections)
+    if (state.connections >= state.max_connections)
     {
         state.metrics.count("connections_refused");
         return; // closed without having read a request
@@ -99,7 +103,7 @@
     // Left of the grace for the end of the process itself.
     constexpr milliseconds reserve{500};
     constexpr milliseconds look_interval{50};
-    const auto until = steady::now() + state.settings.stop_grace - reserve;
+    const auto until = steady::now() + state.stop_grace.load() - reserve;
     state.stopping = true;
     stop.wait_for(notice_time);
     signal_event_fd(state.stop_fd);
@@ -109,9 +113,10 @@
     }
 }
 
-/// Runs until a stop signal. `Platform` names the codec and the client of the store.
+/// Runs until a stop signal. `path` holds the settings, which may change meanwhile.
+/// `Platform` names the codec and the client of the store.
 template <typename Platform>
-int run_gateway(const gateway_settings& settings)
+int run_gateway(const gateway_settings& settings, const std::string& path)
 {
     using codec = typename Platform::codec;
     using store = typename Platform::store;
@@ -161,7 +166,9 @@
     log_event(log_level::warn, "gateway started",
               {{"address", to_string(settings.listen)}});
 
-    wait_for_stop_signal();
+    settings_reload reload(path, settings,
+                           [&state](const auto& it) { state.apply(it); });
+    wait_for_stop_signal([&reload](bool asked) { reload.look(asked); }, settings_look);
     log_event(log_level::warn, "gateway is stopping; requests under way finish",
               {{"connections", static_cast<std::uint64_t>(state.connections)}});
     drain(state, draining);
--- a/source/process/gateway_state.hpp
+++ b/source/process/gateway_state.hpp
@@ -19,11 +19,21 @@
 struct gateway_state
 {
     explicit gateway_state(const gateway_settings& it)
-        : settings(it), work(it.self.zone), budgets(it.repeats), stop_fd(open_event_fd())
+        : settings(it), work(it.self.zone), budgets(it.repeats), stop_fd(open_event_fd()),
+          max_connections(it.max_connections), stop_grace(it.stop_grace)
     {
     }
 
-    const gateway_settings& settings;
+    /// Puts the settings in force that may change while the process runs.
+    void apply(const gateway_settings& it)
+    {
+        max_connections = it.max_connections;
+        stop_grace = it.stop_grace;
+        budgets.change_limits(it.repeats);
+        set_least_level(it.self.least_level);
+    }
+
+    const gateway_settings& settings; ///< As at the start.
     version_holder<route_table> routes;
     dispatcher work;
     service_budgets budgets;
@@ -33,6 +43,8 @@
     std::atomic<bool> stopping = false; ///< A stop signal has arrived.
     std::atomic<bool> knows_backends = false;
     std::atomic<std::size_t> connections = 0;
+    std::atomic<std::uint32_t> max_connections; ///< Callers' connections at once.
+    std::atomic<milliseconds> stop_grace;       ///< From the stop signal to the kill.
 
     /// Returns whether new connections are welcome.
     [[nodiscard]] bool ready() const
--- a/source/process/logging.cpp
+++ b/source/process/logging.cpp
@@ -118,6 +118,14 @@
         spdlog::pattern_time_type::utc);
 }
 
+void set_least_level(log_level least)
+{
+    if (logger)
+    {
+        logger->set_level(to_spdlog(least));
+    }
+}
+
 void log(log_level level, std::string_view text, const log_fields& fields)
 {
     if (!logger || !logger->should_log(to_spdlog(level)))
--- a/source/process/logging.hpp
+++ b/source/process/logging.hpp
@@ -31,6 +31,9 @@
 /// below `least` are dropped.
 void start_logging(std::string_view vm, std::string_view zone, log_level least);
 
+/// Drops lines below `least` from now on.
+void set_least_level(log_level least);
+
 /// Writes one line. Does nothing before start_logging().
 void log(log_level level, std::string_view text, const log_fields& fields = {});
 
--- a/source/process/service_budgets.cpp
+++ b/source/process/service_budgets.cpp
@@ -22,6 +22,16 @@
     }
 }
 
+void service_budgets::change_limits(const repeat_limits& limits)
+{
+    const std::lock_guard lock(mutex_);
+    if (limits != limits_)
+    {
+        limits_ = limits;
+        budgets_.clear(); // made anew with the new limits
+    }
+}
+
 void service_budgets::earn(std::string_view service, time_point now)
 {
     const std::lock_guard lock(mutex_);
--- a/source/process/service_budgets.hpp
+++ b/source/process/service_budgets.hpp
@@ -17,6 +17,8 @@
     double ratio = 0.2; ///< Repeats for each request.
     double slack = 100; ///< Repeats beyond that in one window.
     milliseconds window{10'000};
+
+    bool operator==(const repeat_limits&) const = default;
 };
 
 /// This gateway's share of the bound, for each service. Thread-safe.
@@ -28,6 +30,8 @@
     /// Says how many gateways are known to share the bound. The number only grows: a
     /// gateway that is not heard may still run.
     void share_among(std::size_t gateways);
+    /// Takes changed limits; what was saved up is divided anew.
+    void change_limits(const repeat_limits& limits);
     /// Counts a request for a service.
     void earn(std::string_view service, time_point now);
     /// Takes one repeat; false if this gateway's share is spent.
--- a/source/process/task.cpp
+++ b/source/process/task.cpp
@@ -116,4 +116,21 @@
     return number;
 }
 
+int wait_for_stop_signal(const std::function<void(bool)>& look, milliseconds interval)
+{
+    const auto set = stop_signals();
+    const auto whole = std::chrono::duration_cast<seconds>(interval);
+    const auto rest = std::chrono::nanoseconds(interval - whole);
+    const timespec pause{whole.count(), rest.count()};
+    for (;;)
+    {
+        const int number = sigtimedwait(&set, nullptr, &pause);
+        if (number == SIGTERM || number == SIGINT)
+        {
+            return number;
+        }
+        look(number == SIGHUP);
+    }
+}
+
 } // namespace pistachiopost
--- a/source/process/task.hpp
+++ b/source/process/task.hpp
@@ -2,6 +2,8 @@
 /// A POSIX thread with a stack of stated size.
 #pragma once
 
+#include "request/time_types.hpp"
+
 #include <pthread.h>
 
 #include <cstddef>
@@ -40,7 +42,12 @@
 /// started from it, so that wait_for_stop_signal() receives them.
 void block_stop_signals();
 
-/// Waits for SIGTERM or SIGINT and returns its number.
+/// Waits for SIGTERM or SIGINT and returns its number. SIGHUP is logged and ignored.
 int wait_for_stop_signal();
 
+/// Waits the same, but calls `look` with true on SIGHUP and with false after each
+/// `interval`.
+int wait_for_stop_signal(const std::function<void(bool)>& look,
+                         milliseconds interval);
+
 } // namespace pistachiopost
--- a/tests/process/settings_test.cpp
+++ b/tests/process/settings_test.cpp
@@ -1,8 +1,13 @@
 #include "process/settings_document.hpp"
+#include "process/settings_reload.hpp"
 
 #include <criterion/criterion.h>
+#include <fmt/format.h>
 
 #include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <unistd.h>
 
 using namespace pistachiopost;
 
@@ -91,3 +96,68 @@
         cr_assert_eq(it.faults()[0].path, "/peers");
     }
 }
+
+namespace {
+
+/// A settings file of a gateway that a test rewrites.
+struct reload_fixture
+{
+    reload_fixture()
+    {
+        write(R"("limits":{"max_connections":10})");
+        running = std::get<gateway_settings>(read_settings_file(path));
+    }
+
+    ~reload_fixture() { std::filesystem::remove(path); }
+
+    void write(std::string_view more, std::string_view store = "127.0.0.1:7104") const
+    {
+        std::ofstream(path) << R"({"role":"gateway","vm":"v","zone":"z","region":"r",
+            "listen":"127.0.0.1:7100","readiness":"127.0.0.1:7101",
+            "metrics":"127.0.0.1:7102","peers":"127.0.0.1:7103","store":")"
+                            << store << "\"," << more << "}";
+    }
+
+    std::string path = fmt::format("reload-{}.json", getpid());
+    gateway_settings running;
+};
+
+} // namespace
+
+Test(settings, changed_limits_are_taken_and_a_changed_address_is_named)
+{
+    const reload_fixture it;
+    auto running = it.running;
+    it.write(R"("log_level":"debug","limits":{"max_connections":20})", "127.0.0.1:9000");
+    const auto read = std::get<gateway_settings>(read_settings_file(it.path));
+    const auto change = take_over(running, read);
+    cr_assert_eq(running.max_connections, 20U);
+    cr_assert_eq(running.self.least_level, log_level::debug);
+    cr_assert_eq(running.store.port, 7'104);
+    cr_assert_eq(change.taken.size(), 2U);
+    cr_assert_eq(change.fixed.size(), 1U);
+    cr_assert(change.fixed.front() == "/store");
+}
+
+Test(settings, changed_file_without_a_signal_is_taken_over_once)
+{
+    const reload_fixture it;
+    int calls = 0;
+    settings_reload reload(it.path, it.running, [&](const auto&) { ++calls; });
+    reload.look(false);
+    cr_assert_eq(calls, 0);
+    it.write(R"("limits":{"max_connections":2000})");
+    reload.look(false);
+    reload.look(false);
+    cr_assert_eq(calls, 1);
+}
+
+Test(settings, changed_file_with_a_fault_changes_nothing)
+{
+    const reload_fixture it;
+    int calls = 0;
+    settings_reload reload(it.path, it.running, [&](const auto&) { ++calls; });
+    it.write(R"("limits":{"max_connections":"many"})");
+    reload.look(true);
+    cr_assert_eq(calls, 0);
+}
