Silence is judged by the delays of late, the short pool by slots

At a crest of short prompts every engine begins its answers a second late, so sound engines were left, avoided and doubted one after the other (23 of 36 trusted), and what remained was fuller still. Besides, the engines kept for short prompts were counted as 13 requests each, also where an engine has 12 slots, so short prompts spilled into the engines for long ones. Change: the patience for a first event follows the smoothed delays of late by service, with the gains of RFC 6298; the short pool counts four fifths of the slots that the engines say they have (12.8 of 16, as before on that size).

--- /dev/null
+++ b/source/process/answer_delays.cpp
@@ -0,0 +1,45 @@
+#include "process/answer_delays.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace pistachiopost {
+
+namespace {
+
+// Gains and factor of RFC 6298.
+constexpr double mean_gain = 1.0 / 8;
+constexpr double deviation_gain = 1.0 / 4;
+constexpr double deviations = 4;
+
+} // namespace
+
+void answer_delays::add(std::string_view service, steady::duration delay)
+{
+    const double ms =
+        std::max(0.0, std::chrono::duration<double, std::milli>(delay).count());
+    const std::lock_guard lock(mutex_);
+    auto it = services_.find(service);
+    if (it == services_.end())
+    {
+        it = services_.emplace(std::string(service), smoothed{ms, ms / 2}).first;
+        return;
+    }
+    auto& [mean, deviation] = it->second;
+    deviation += deviation_gain * (std::abs(ms - mean) - deviation);
+    mean += mean_gain * (ms - mean);
+}
+
+milliseconds answer_delays::allowance(std::string_view service) const
+{
+    const std::lock_guard lock(mutex_);
+    const auto it = services_.find(service);
+    if (it == services_.end())
+    {
+        return milliseconds{0};
+    }
+    const double ms = it->second.mean_ms + deviations * it->second.deviation_ms;
+    return milliseconds{static_cast<milliseconds::rep>(ms)};
+}
+
+} // namespace pistachiopost
--- a/source/process/forward_service.cpp
+++ b/source/process/forward_service.cpp
@@ -54,7 +54,7 @@
             milliseconds{static_cast<milliseconds::rep>(whole * longest_share)}};
 }
 
-attempt_patience patience_of(const route& way, const placement& place)
+attempt_patience patience_of(const route& way, const placement& place, milliseconds delay)
 {
     if (way.kind != call_kind::stream)
     {
@@ -63,8 +63,8 @@
     const milliseconds expected{
         static_cast<milliseconds::rep>(place.first_event_ms * estimate_slack)};
     const auto gap = std::max(way.event_gap_target * gap_patience, least_gap_patience);
-    const auto first =
-        expected + gap + (place.helpers.empty() ? milliseconds{0} : helper_stall);
+    const auto first = expected + std::max(gap, delay) +
+                       (place.helpers.empty() ? milliseconds{0} : helper_stall);
     return {connect_limit, first, gap};
 }
 
--- a/source/process/forward_service.hpp
+++ b/source/process/forward_service.hpp
@@ -29,8 +29,10 @@
 /// Returns how long a request of this route waits for a place.
 place_patience line_patience(const route& way);
 
-/// Returns how long an attempt may stay silent.
-attempt_patience patience_of(const route& way, const placement& place);
+/// Returns how long an attempt may stay silent, at a service that begins its answers up
+/// to `delay` later than expected.
+attempt_patience patience_of(const route& way, const placement& place,
+                             milliseconds delay);
 
 /// The life of one request. `Codec` turns heads into types and back.
 template <typename Codec>
@@ -256,9 +258,22 @@
         terms.time_left = std::max(left, milliseconds{1});
         run.it.events.drop_partial();
         run.last_place = place;
-        forward_attempt<Codec> one(run.it, patience_of(run.it.way, place), memory,
+        const auto& service = place.main.backend.service;
+        const auto patience =
+            patience_of(run.it.way, place, state_.delays.allowance(service));
+        const auto began = steady::now();
+        forward_attempt<Codec> one(run.it, patience, memory,
                                    [&held] { held.reading_done(); });
-        return one.run(place.main.backend, terms);
+        auto result = one.run(place.main.backend, terms);
+        if (result.first_event || (result.silent && result.status == 0))
+        {
+            const std::chrono::duration<double, std::milli> expected(
+                place.first_event_ms);
+            const auto seen = result.first_event.value_or(steady::now()) - began;
+            state_.delays.add(
+                service, std::chrono::duration_cast<steady::duration>(seen - expected));
+        }
+        return result;
     }
 
     /// Takes over what an attempt shows; returns whether another one would help.
--- a/source/process/gateway_state.hpp
+++ b/source/process/gateway_state.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "connection/unique_fd.hpp"
+#include "process/answer_delays.hpp"
 #include "process/crash_tally.hpp"
 #include "process/dispatcher.hpp"
 #include "process/gateway_metrics.hpp"
@@ -37,6 +38,7 @@
     version_holder<route_table> routes;
     dispatcher work;
     service_budgets budgets;
+    answer_delays delays;
     crash_tally crashes;
     gateway_metrics metrics;
     unique_fd stop_fd;                  ///< Readable once idle connections are to close.
--- a/source/process/placement.cpp
+++ b/source/process/placement.cpp
@@ -14,9 +14,9 @@
 // Share of the tightest pause between events that one read may add before it counts as
 // long.
 constexpr double long_read_share = 1;
-// Short requests that one engine is meant to write at once: four fifths of a batch of
-// sixteen, so that the next ones find a place.
-constexpr double usual_writers = 13;
+// Share of an engine's slots that short requests are meant to take, so that the next ones
+// find a place.
+constexpr double usual_fill = 0.8;
 // One engine in eight stays for long prompts whatever the short ones need.
 constexpr std::size_t least_pool_part = 8;
 // How full a server of another availability zone must be less to be preferred: a tenth of
@@ -85,16 +85,20 @@
 std::size_t long_pool_size(std::span<const candidate> candidates)
 {
     std::uint32_t writers = 0;
+    std::uint32_t slots = 0;
     std::set<std::string_view> zones;
     for (const auto& it : candidates)
     {
         writers += it.load.short_requests;
+        slots += it.backend->slots;
         zones.insert(it.backend->zone);
     }
-    const auto busy = static_cast<std::size_t>(std::ceil(writers / usual_writers));
-    // One more than is busy, and one in each availability zone.
-    const auto needed = std::max(busy + 1, zones.size());
     const auto count = candidates.size();
+    // Engines that the writers fill, if all have the mean number of slots.
+    const double busy = std::ceil(writers * static_cast<double>(count) /
+                                  (usual_fill * std::max(slots, 1U)));
+    // One more than is busy, and one in each availability zone.
+    const auto needed = std::max(static_cast<std::size_t>(busy) + 1, zones.size());
     const auto least = std::max(count / least_pool_part, std::min<std::size_t>(count, 1));
     return count > needed + least ? count - needed : least;
 }
--- a/tests/process/gateway_limits_test.cpp
+++ b/tests/process/gateway_limits_test.cpp
@@ -189,6 +189,20 @@
     cr_assert_lt(it.urgent_after, it.longest);
 }
 
+Test(line_patience, silence_is_judged_by_the_delays_of_late)
+{
+    route way;
+    way.kind = call_kind::stream;
+    way.event_gap_target = milliseconds{250};
+    placement place;
+    place.first_event_ms = 50;
+    const auto usual = patience_of(way, place, milliseconds{0});
+    const auto full = patience_of(way, place, milliseconds{2'500});
+    cr_assert_eq(usual.first_event.count(), 1'100);
+    cr_assert_eq(full.first_event.count(), 2'600);
+    cr_assert_eq(usual.event_gap.count(), full.event_gap.count());
+}
+
 Test(line_patience, same_request_always_goes_to_the_same_service)
 {
     route way;
--- a/tests/process/placement_test.cpp
+++ b/tests/process/placement_test.cpp
@@ -161,6 +161,27 @@
     cr_assert_eq(long_pool_size(it.engines), 2U);
 }
 
+Test(placement, engines_left_for_long_prompts_follow_the_slots_of_an_engine)
+{
+    placement_fixture it;
+    for (auto& one : it.engines)
+    {
+        one.load.short_requests = 4;
+    }
+    const auto with_many = long_pool_size(it.engines);
+    std::vector<backend_record> smaller;
+    for (const auto& one : it.engines)
+    {
+        smaller.push_back(*one.backend);
+        smaller.back().slots = one.backend->slots / 2;
+    }
+    for (std::size_t i = 0; i < smaller.size(); ++i)
+    {
+        it.engines[i].backend = &smaller[i];
+    }
+    cr_assert_lt(long_pool_size(it.engines), with_many);
+}
+
 Test(placement, prompt_over_one_engines_memory_reserves_the_rest_at_helpers)
 {
     const placement_fixture it;
