Burn report: how fast error budgets are used up, as text, JSON and a page

Change: gateways grade each ended request by the targets of its route and count it by length of the prompt and customer (200 names at most); 'pistachiopost report burn' reads collected metrics and shows burn rates by length, customer and window, at the crest, and of short prompts beside long ones. Ruled out: objectives by route, whose names change with each configuration.

--- a/source/main.cpp
+++ b/source/main.cpp
@@ -6,7 +6,9 @@
 #include "process/entry_process.hpp"
 #include "process/gateway_process.hpp"
 #include "process/json_reader.hpp"
+#include "process/metrics_sample.hpp"
 #include "process/operator_commands.hpp"
+#include "process/report_command.hpp"
 #include "process/settings_document.hpp"
 #include "process/task.hpp"
 
@@ -28,7 +30,10 @@
 DEFINE_string(reason, "", "why");
 DEFINE_bool(force, false, "allow a drain that leaves no backend server");
 DEFINE_bool(yes, false, "confirm the plan at once");
-DEFINE_string(output, "text", "text or json");
+DEFINE_string(output, "text", "text or json; html for reports");
+DEFINE_double(on_time, 0.95, "objective: share of requests on time");
+DEFINE_double(served, 0.99, "objective: share of requests answered");
+DEFINE_double(window, 60, "seconds in a window of a report");
 
 namespace pistachiopost {
 namespace {
@@ -79,6 +84,13 @@
     command{"backend", "backend servers: drain, undrain, list", operator_help},
     command{"plan", "plans: list, show, confirm, discard, rebase", operator_help},
     command{"history", "confirmed plans: who, when, why", operator_help},
+    command{
+        "report", "burn: how fast error budgets are used up",
+        "usage: pistachiopost report burn FILE...\n"
+        "Each FILE holds answers of GET /metrics of gateways, one after the other.\n"
+        "flags: --output=text|json|html, --window=SECONDS (60), --on_time=SHARE (0.95),\n"
+        "       --served=SHARE (0.99)\n"
+        "exit codes: 0 success, 1 a file is not such metrics, 2 wrong usage\n"},
     command{"status", "the version in force on each entry", operator_help},
 };
 
@@ -119,8 +131,9 @@
 std::string flag_problem(int argc, char** argv)
 {
     using namespace std::string_view_literals;
-    constexpr std::array known{"settings"sv, "help"sv,   "table"sv, "vms"sv, "entries"sv,
-                               "operator"sv, "reason"sv, "force"sv, "yes"sv, "output"sv};
+    constexpr std::array known{
+        "on_time"sv, "served"sv,   "window"sv, "settings"sv, "help"sv, "table"sv, "vms"sv,
+        "entries"sv, "operator"sv, "reason"sv, "force"sv,    "yes"sv,  "output"sv};
     for (int i = 2; i < argc; ++i)
     {
         std::string_view word = argv[i];
@@ -218,6 +231,23 @@
     }
 }
 
+int run_as_reporter(const std::vector<std::string>& words)
+{
+    if (FLAGS_output != "text" && FLAGS_output != "json" && FLAGS_output != "html")
+    {
+        return usage_error("--output must be text, json or html");
+    }
+    try
+    {
+        return run_report(words,
+                          {FLAGS_on_time, FLAGS_served, FLAGS_window, FLAGS_output});
+    }
+    catch (const report_error& it)
+    {
+        return usage_error(it.what());
+    }
+}
+
 int run_command(const command& chosen, int argc, char** argv)
 {
     for (int i = 2; i < argc; ++i)
@@ -238,6 +268,10 @@
         return argc == 3 ? check_settings(argv[2])
                          : usage_error("check-settings needs one FILE");
     }
+    if (chosen.name == "report")
+    {
+        return run_as_reporter({argv + 1, argv + argc});
+    }
     if (is_operator_command(chosen.name))
     {
         return run_as_operator({argv + 1, argv + argc});
--- a/source/process/forward_service.cpp
+++ b/source/process/forward_service.cpp
@@ -47,6 +47,21 @@
     return way.services.back().service;
 }
 
+std::optional<service_grade> grade_of(const forwarding& run, bool answered,
+                                      time_point now)
+{
+    const auto& way = run.it.way;
+    const bool due = run.first_event.value_or(now) - run.arrived > way.latency_target;
+    if (!answered)
+    {
+        const bool left = peer_closed(run.it.caller.fd());
+        return left && !due ? std::nullopt : std::optional(service_grade::failed);
+    }
+    const bool paused =
+        way.event_gap_target.count() > 0 && run.longest_pause > way.event_gap_target;
+    return due || paused ? service_grade::late : service_grade::on_time;
+}
+
 place_patience line_patience(const route& way)
 {
     const auto whole = static_cast<double>(way.caller_patience().count());
--- a/source/process/forward_service.hpp
+++ b/source/process/forward_service.hpp
@@ -34,6 +34,11 @@
 attempt_patience patience_of(const route& way, const placement& place,
                              milliseconds delay);
 
+/// Returns how well a request that has ended was served; nothing if its caller left
+/// before it was late.
+std::optional<service_grade> grade_of(const forwarding& run, bool answered,
+                                      time_point now);
+
 /// The life of one request. `Codec` turns heads into types and back.
 template <typename Codec>
 class forward_service
@@ -388,8 +393,15 @@
 
     bool finish(const forwarding& run, std::string_view outcome, bool keep)
     {
+        const auto now = steady::now();
         state_.metrics.ended(outcome);
-        log_ended(run, outcome, steady::now());
+        if (const auto grade = grade_of(run, outcome == "answered", now))
+        {
+            const auto tokens =
+                run.it.request.prompt ? run.it.request.prompt->prompt_tokens : 0;
+            state_.metrics.graded(classify(tokens), run.customer, *grade);
+        }
+        log_ended(run, outcome, now);
         return keep;
     }
 
--- a/source/process/gateway_metrics.cpp
+++ b/source/process/gateway_metrics.cpp
@@ -38,18 +38,29 @@
     increase(counts_, name);
 }
 
-std::string gateway_metrics::text(std::uint64_t version, std::size_t waiting,
-                                  std::size_t connections) const
+void gateway_metrics::graded(length_class which, std::string_view customer,
+                             service_grade grade)
 {
     const std::lock_guard lock(mutex_);
-    auto out = fmt::format("# TYPE pistachiopost_configuration_version gauge\n"
+    grades_.add(which, customer, grade);
+}
+
+std::string gateway_metrics::text(const gateway_gauges& gauges) const
+{
+    const std::lock_guard lock(mutex_);
+    auto out = fmt::format("# TYPE pistachiopost_gateway_info gauge\n"
+                           "pistachiopost_gateway_info{{vm=\"{}\"}} 1\n"
+                           "# TYPE pistachiopost_time_seconds gauge\n"
+                           "pistachiopost_time_seconds {:.3f}\n"
+                           "# TYPE pistachiopost_configuration_version gauge\n"
                            "pistachiopost_configuration_version {}\n"
                            "# TYPE pistachiopost_waiting_requests gauge\n"
                            "pistachiopost_waiting_requests {}\n"
                            "# TYPE pistachiopost_connections gauge\n"
                            "pistachiopost_connections {}\n"
                            "# TYPE pistachiopost_requests_total counter\n",
-                           version, waiting, connections);
+                           gauges.vm, gauges.time_s, gauges.version, gauges.waiting,
+                           gauges.connections);
     for (const auto& [name, n] : ended_)
     {
         out +=
@@ -61,6 +72,7 @@
                            "pistachiopost_{0}_total {1}\n",
                            name, n);
     }
+    grades_.add_text(out);
     out += "# TYPE pistachiopost_first_answer_seconds histogram\n";
     for (std::size_t i = 0; i < length_class_count; ++i)
     {
--- a/source/process/gateway_process.hpp
+++ b/source/process/gateway_process.hpp
@@ -156,18 +156,20 @@
     });
     task serve_metrics([&] {
         serve_status(metrics, end_fd.get(), [&state] {
-            return status_answer{200, "text/plain; version=0.0.4",
-                                 state.metrics.text(state.routes.version(),
-                                                    state.work.waiting(),
-                                                    state.connections)};
+            const std::chrono::duration<double> unix_time =
+                std::chrono::system_clock::now().time_since_epoch();
+            return status_answer{
+                200, "text/plain; version=0.0.4",
+                state.metrics.text({state.settings.self.vm, unix_time.count(),
+                                    state.routes.version(), state.work.waiting(),
+                                    state.connections})};
         });
     });
     task serve_callers([&] { accept_callers<codec>(state, std::move(callers)); });
     log_event(log_level::warn, "gateway started",
               {{"address", to_string(settings.listen)}});
 
-    settings_reload reload(path, settings,
-                           [&state](const auto& it) { state.apply(it); });
+    settings_reload reload(path, settings, [&state](const auto& it) { state.apply(it); });
     wait_for_stop_signal([&reload](bool asked) { reload.look(asked); }, settings_look);
     log_event(log_level::warn, "gateway is stopping; requests under way finish",
               {{"connections", static_cast<std::uint64_t>(state.connections)}});
--- /dev/null
+++ b/source/process/metrics_sample.cpp
@@ -0,0 +1,115 @@
+#include "process/metrics_sample.hpp"
+
+#include <fmt/format.h>
+
+#include <charconv>
+
+namespace pistachiopost {
+
+namespace {
+
+constexpr std::string_view info_name = "pistachiopost_gateway_info";
+constexpr std::string_view time_name = "pistachiopost_time_seconds";
+
+[[noreturn]] void refuse(std::size_t line, std::string_view problem)
+{
+    throw metrics_error(fmt::format(
+        "line {}: {}; expected what GET /metrics of a gateway answers", line, problem));
+}
+
+/// Reads NAME="VALUE",... up to the closing brace and takes it off `rest`.
+void read_labels(std::string_view& rest, std::size_t line, metric_value& into)
+{
+    while (!rest.empty() && rest.front() != '}')
+    {
+        const auto equals = rest.find("=\"");
+        const auto end =
+            equals == std::string_view::npos ? equals : rest.find('"', equals + 2);
+        if (end == std::string_view::npos)
+        {
+            refuse(line, "a label is not NAME=\"VALUE\"");
+        }
+        into.labels.emplace(rest.substr(0, equals),
+                            rest.substr(equals + 2, end - equals - 2));
+        rest.remove_prefix(end + 1);
+        if (!rest.empty() && rest.front() == ',')
+        {
+            rest.remove_prefix(1);
+        }
+    }
+    if (rest.empty())
+    {
+        refuse(line, "the labels do not end");
+    }
+    rest.remove_prefix(1);
+}
+
+metric_value read_value(std::string_view text, std::size_t line)
+{
+    metric_value it;
+    const auto end = text.find_first_of("{ ");
+    if (end == std::string_view::npos || end == 0)
+    {
+        refuse(line, "no metric");
+    }
+    it.name = text.substr(0, end);
+    auto rest = text.substr(end);
+    if (rest.front() == '{')
+    {
+        rest.remove_prefix(1);
+        read_labels(rest, line, it);
+    }
+    rest.remove_prefix(std::min(rest.find_first_not_of(' '), rest.size()));
+    const auto [stop, ec] =
+        std::from_chars(rest.data(), rest.data() + rest.size(), it.value);
+    if (ec != std::errc() || stop != rest.data() + rest.size())
+    {
+        refuse(line, "the value is not a number");
+    }
+    return it;
+}
+
+} // namespace
+
+std::string_view metric_value::label(std::string_view which) const
+{
+    const auto it = labels.find(which);
+    return it == labels.end() ? std::string_view() : std::string_view(it->second);
+}
+
+std::vector<metrics_sample> read_metrics(std::string_view text)
+{
+    std::vector<metrics_sample> samples;
+    std::size_t number = 0;
+    while (!text.empty())
+    {
+        ++number;
+        const auto end = std::min(text.find('\n'), text.size());
+        const auto line = text.substr(0, end);
+        text.remove_prefix(std::min(end + 1, text.size()));
+        if (line.empty() || line.front() == '#')
+        {
+            continue;
+        }
+        auto it = read_value(line, number);
+        if (it.name == info_name)
+        {
+            samples.emplace_back();
+            samples.back().vm = it.label("vm");
+            continue;
+        }
+        if (samples.empty())
+        {
+            refuse(number, fmt::format("no {} before it", info_name));
+        }
+        if (it.name == time_name)
+        {
+            samples.back().time_s = it.value;
+            continue;
+        }
+        samples.back().values.push_back(std::move(it));
+    }
+    return samples;
+}
+
+} // namespace pistachiopost
--- /dev/null
+++ b/source/process/service_grades.hpp
@@ -0,0 +1,52 @@
+/// \file
+/// How well requests were served, by length of the prompt and by customer.
+#pragma once
+
+#include "request/length_class.hpp"
+#include "request/time_types.hpp"
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace pistachiopost {
+
+/// How well one request was served.
+enum class service_grade
+{
+    on_time, ///< First event, pauses and end within the targets of the route.
+    late,    ///< Answered, but not on time.
+    failed   ///< Not answered.
+};
+
+/// Number of grades.
+inline constexpr std::size_t service_grade_count = 3;
+
+/// Returns the name of `grade`, as used in metrics and reports.
+std::string_view to_string(service_grade grade);
+
+/// Counts by grade.
+using grade_counts = std::array<std::uint64_t, service_grade_count>;
+
+/// The counts of a process. Not thread-safe.
+class service_grades
+{
+public:
+    /// Counts one request.
+    void add(length_class which, std::string_view customer, service_grade grade);
+    /// Adds the counts to `out` in the text form that metric collectors read.
+    void add_text(std::string& out) const;
+
+private:
+    // Customers counted by name; later ones share one name. Bounds the metrics at 2,400
+    // lines of about 90 bytes each.
+    static constexpr std::size_t most_customers = 200;
+
+    std::map<std::string, std::array<grade_counts, length_class_count>, std::less<>>
+        customers_;
+};
+
+} // namespace pistachiopost
--- /dev/null
+++ b/tests/process/burn_report_test.cpp
@@ -0,0 +1,145 @@
+#include "process/burn_document.hpp"
+#include "process/burn_report.hpp"
+#include "process/gateway_metrics.hpp"
+
+#include <criterion/criterion.h>
+#include <fmt/format.h>
+
+#include <cmath>
+
+using namespace pistachiopost;
+
+namespace {
+
+/// The counters of one gateway and what it answers to collectors.
+struct burn_fixture
+{
+    void serve(length_class which, std::string_view customer, service_grade grade, int n)
+    {
+        for (int i = 0; i < n; ++i)
+        {
+            metrics.graded(which, customer, grade);
+        }
+    }
+
+    void scrape(double time_s, std::string_view vm = "front-1")
+    {
+        text += metrics.text({vm, time_s, 7, 0, 0});
+    }
+
+    [[nodiscard]] burn_report report() const
+    {
+        return make_burn_report(read_metrics(text), {0.9, 0.99}, 60);
+    }
+
+    gateway_metrics metrics;
+    std::string text;
+};
+
+constexpr auto medium = length_class::medium;
+constexpr auto huge = length_class::huge;
+
+bool near(double a, double b)
+{
+    return std::abs(a - b) < 1e-9;
+}
+
+} // namespace
+
+Test(burn_report, late_tenth_at_an_objective_of_nine_tenths_burns_at_rate_one)
+{
+    burn_fixture it;
+    it.serve(medium, "ann", service_grade::on_time, 90);
+    it.serve(medium, "ann", service_grade::late, 10);
+    it.scrape(0);
+    const auto line = it.report().by_class[static_cast<std::size_t>(medium)];
+    cr_assert_eq(line.total(), 100U);
+    cr_assert(near(line.burn({0.9, 0.99}), 1));
+    cr_assert(near(line.served_share(), 1));
+}
+
+Test(burn_report, windows_hold_only_what_was_added_in_them)
+{
+    burn_fixture it;
+    it.serve(medium, "ann", service_grade::on_time, 10);
+    it.scrape(0);
+    it.serve(medium, "ann", service_grade::failed, 30);
+    it.scrape(60);
+    it.scrape(120);
+    const auto report = it.report();
+    cr_assert_eq(report.windows.size(), 2U);
+    cr_assert_eq(report.windows[1].all().total(), 30U);
+    cr_assert_eq(report.crest.total(), 30U);
+    cr_assert(near(report.crest.served_share(), 0));
+}
+
+Test(burn_report, restarted_gateway_is_counted_from_zero)
+{
+    burn_fixture before;
+    before.serve(medium, "ann", service_grade::on_time, 10);
+    before.scrape(0);
+    burn_fixture after;
+    after.serve(medium, "ann", service_grade::on_time, 4);
+    after.scrape(60);
+    before.text += after.text;
+    cr_assert_eq(before.report().by_class[static_cast<std::size_t>(medium)].total(), 14U);
+}
+
+Test(burn_report, short_ones_are_compared_beside_long_ones_and_alone)
+{
+    burn_fixture it;
+    it.serve(medium, "ann", service_grade::on_time, 10);
+    it.scrape(0);
+    it.serve(medium, "ann", service_grade::late, 10);
+    it.serve(huge, "bob", service_grade::on_time, 5);
+    it.scrape(60);
+    const auto report = it.report();
+    cr_assert(near(report.short_alone.on_time_share(), 1));
+    cr_assert(near(report.short_beside_long.on_time_share(), 0));
+}
+
+Test(burn_report, fastest_burning_customer_comes_first_in_every_form)
+{
+    burn_fixture it;
+    it.serve(medium, "ann", service_grade::on_time, 10);
+    it.serve(medium, "bob<i>", service_grade::failed, 10);
+    it.scrape(0);
+    const auto report = it.report();
+    cr_assert_eq(report.by_customer.front().name, "bob<i>");
+    cr_assert(to_text(report).find("bob<i>") != std::string::npos);
+    cr_assert(to_json(report).find("\"failed\": 10") != std::string::npos);
+    const auto page = to_page(report);
+    cr_assert(page.find("bob&lt;i&gt;") != std::string::npos);
+    cr_assert(page.find("<svg") != std::string::npos);
+    cr_assert(page.find("http://") == std::string::npos, "the page needs another file");
+}
+
+Test(burn_report, customers_beyond_the_bound_share_one_name)
+{
+    burn_fixture it;
+    for (int i = 0; i < 300; ++i)
+    {
+        it.serve(medium, fmt::format("c{}", i), service_grade::on_time, 1);
+    }
+    it.scrape(0);
+    const auto report = it.report();
+    cr_assert_eq(report.by_customer.size(), 201U);
+    cr_assert_eq(report.by_class[static_cast<std::size_t>(medium)].total(), 300U);
+}
+
+Test(burn_report, text_that_is_not_metrics_is_refused_with_its_line)
+{
+    for (const auto* text : {"hello", "a 1\n", "pistachiopost_gateway_info{vm=\"a} 1\n",
+                             "pistachiopost_gateway_info{vm=\"a\"} 1\nx y\n"})
+    {
+        try
+        {
+            read_metrics(text);
+            cr_assert_fail("taken: %s", text);
+        }
+        catch (const metrics_error& it)
+        {
+            cr_assert(std::string(it.what()).find("line ") == 0);
+        }
+    }
+}
