Fuzzing of callers' bytes, backend servers' bytes, rows and datagrams

Cause: what comes from outside had examples as tests only. A forwarded request must read as the same one request without the key; events must be the start of the body, whatever the pieces. A build that passes the key on is found at the first input. Ruled out: libFuzzer, whose runtime the compiler of the build does not have.

--- /dev/null
+++ b/source/connection/load_report_codec.cpp
@@ -0,0 +1,101 @@
+#include "connection/load_report_codec.hpp"
+
+#include "connection/codec_error.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <limits>
+
+namespace pistachiopost {
+
+namespace {
+
+using nlohmann::json;
+
+json encode_loads(const load_report_message& message)
+{
+    auto loads = json::array();
+    for (const auto& [backend, load] : message.loads)
+    {
+        loads.push_back({backend, load.requests, load.short_requests, load.memory_tokens,
+                         static_cast<std::uint32_t>(load.read_ms),
+                         static_cast<std::uint32_t>(load.unseen_ms)});
+    }
+    return loads;
+}
+
+json encode_crashes(const load_report_message& message)
+{
+    auto crashes = json::array();
+    for (const auto& it : message.crashes)
+    {
+        crashes.push_back({it.fingerprint, it.backend});
+    }
+    return crashes;
+}
+
+/// Reads a count. A negative or broken one would count as work that never ends.
+std::uint64_t read_count(const json& from)
+{
+    if (!from.is_number_unsigned())
+    {
+        throw codec_error("message of a gateway cannot be read: a count is not a whole "
+                          "number from 0");
+    }
+    return from;
+}
+
+std::uint32_t read_small_count(const json& from)
+{
+    const auto it = read_count(from);
+    if (it > std::numeric_limits<std::uint32_t>::max())
+    {
+        throw codec_error("message of a gateway cannot be read: a count is too large");
+    }
+    return static_cast<std::uint32_t>(it);
+}
+
+backend_load read_load(const json& from)
+{
+    return {read_small_count(from.at(1)), read_small_count(from.at(2)),
+            read_count(from.at(3)), static_cast<double>(read_small_count(from.at(4))),
+            static_cast<double>(read_small_count(from.at(5)))};
+}
+
+} // namespace
+
+std::string encode_load_report(const load_report_message& message)
+{
+    const auto body = json::array({message.gateway, message.boot, message.count,
+                                   encode_loads(message), encode_crashes(message)});
+    const auto bytes = json::to_msgpack(body);
+    return {bytes.begin(), bytes.end()};
+}
+
+load_report_message decode_load_report(std::string_view bytes)
+{
+    try
+    {
+        const auto body = json::from_msgpack(bytes);
+        load_report_message it;
+        it.gateway = body.at(0);
+        it.boot = read_count(body.at(1));
+        it.count = read_count(body.at(2));
+        for (const auto& load : body.at(3))
+        {
+            it.loads.push_back({load.at(0), read_load(load)});
+        }
+        for (const auto& crash : body.at(4))
+        {
+            it.crashes.push_back({read_count(crash.at(0)), crash.at(1)});
+        }
+        return it;
+    }
+    catch (const json::exception& ex)
+    {
+        throw codec_error(std::string("message of a gateway cannot be read: ") +
+                          ex.what());
+    }
+}
+
+} // namespace pistachiopost
--- a/source/connection/peer_link.cpp
+++ b/source/connection/peer_link.cpp
@@ -1,11 +1,11 @@
 #include "connection/peer_link.hpp"
 
 #include "connection/codec_error.hpp"
+#include "connection/load_report_codec.hpp"
 #include "connection/tcp_stream.hpp"
 #include "process/logging.hpp"
 
 #include <netinet/in.h>
-#include <nlohmann/json.hpp>
 #include <sys/socket.h>
 
 #include <array>
@@ -17,8 +17,6 @@
 
 namespace {
 
-using nlohmann::json;
-
 // Between any two messages: a few round trips between availability zones.
 constexpr milliseconds least_interval{10};
 // Between messages while the load changes: a fraction of the shortest answer.
@@ -27,64 +25,6 @@
 constexpr milliseconds idle_interval{500};
 constexpr std::size_t max_datagram = 32'768; // bytes; 600 backend servers fit
 
-json encode_loads(const load_report_message& message)
-{
-    auto loads = json::array();
-    for (const auto& [backend, load] : message.loads)
-    {
-        loads.push_back({backend, load.requests, load.short_requests, load.memory_tokens,
-                         static_cast<std::uint32_t>(load.read_ms),
-                         static_cast<std::uint32_t>(load.unseen_ms)});
-    }
-    return loads;
-}
-
-json encode_crashes(const load_report_message& message)
-{
-    auto crashes = json::array();
-    for (const auto& it : message.crashes)
-    {
-        crashes.push_back({it.fingerprint, it.backend});
-    }
-    return crashes;
-}
-
-std::string encode(const load_report_message& message)
-{
-    const auto body = json::array({message.gateway, message.boot, message.count,
-                                   encode_loads(message), encode_crashes(message)});
-    const auto bytes = json::to_msgpack(body);
-    return {bytes.begin(), bytes.end()};
-}
-
-load_report_message decode(std::string_view bytes)
-{
-    try
-    {
-        const auto body = json::from_msgpack(bytes);
-        load_report_message it;
-        it.gateway = body.at(0);
-        it.boot = body.at(1);
-        it.count = body.at(2);
-        for (const auto& load : body.at(3))
-        {
-            it.loads.push_back(
-                {load.at(0),
-                 {load.at(1), load.at(2), load.at(3), load.at(4), load.at(5)}});
-        }
-        for (const auto& crash : body.at(4))
-        {
-            it.crashes.push_back({crash.at(0), crash.at(1)});
-        }
-        return it;
-    }
-    catch (const json::exception& ex)
-    {
-        throw codec_error(std::string("message of a gateway cannot be read: ") +
-                          ex.what());
-    }
-}
-
 } // namespace
 
 peer_link::peer_link(std::string name, const endpoint& own, dispatcher& work,
@@ -129,7 +69,7 @@
         message.gateway = name_;
         message.boot = boot_;
         message.count = ++count;
-        send_report(encode(message));
+        send_report(encode_load_report(message));
         last = std::move(message);
     }
 }
@@ -164,9 +104,9 @@
         }
         try
         {
-            work_.hear(
-                decode(std::string_view(buf).substr(0, static_cast<std::size_t>(n))),
-                steady::now());
+            work_.hear(decode_load_report(
+                           std::string_view(buf).substr(0, static_cast<std::size_t>(n))),
+                       steady::now());
         }
         catch (const codec_error& it)
         {
--- /dev/null
+++ b/tests/fuzz/main.cpp
@@ -0,0 +1,119 @@
+/// \file
+/// Seeded fuzzing of what comes from outside: fuzz TARGET CORPUS SEED RUNS.
+#include "fuzz/targets.hpp"
+
+#include <algorithm>
+#include <array>
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <string>
+#include <string_view>
+#include <unistd.h>
+
+extern "C" const char* __asan_default_options()
+{
+    return "abort_on_error=1";
+}
+extern "C" const char* __ubsan_default_options()
+{
+    return "abort_on_error=1:print_stacktrace=1";
+}
+
+namespace pistachiopost {
+namespace {
+
+struct target
+{
+    std::string_view name;
+    void (*feed)(std::string_view, mutator&);
+};
+
+constexpr std::array targets{
+    target{"caller", feed_caller}, target{"backend", feed_backend},
+    target{"configuration", feed_configuration}, target{"backend_row", feed_backend_row},
+    target{"load_report", feed_load_report}};
+
+std::string current; // the input that is being fed
+
+/// Keeps the input beside the program, so that it can join the corpus.
+void keep_input()
+{
+    std::ofstream("fuzz-failure.bin", std::ios::binary) << current;
+}
+
+void on_abort(int /*number*/)
+{
+    keep_input(); // not safe in a handler, but the process ends anyway
+    constexpr std::string_view text = "the input is kept in fuzz-failure.bin\n";
+    [[maybe_unused]] const auto n = write(STDERR_FILENO, text.data(), text.size());
+    _exit(1);
+}
+
+std::vector<std::string> read_corpus(const std::filesystem::path& folder)
+{
+    std::vector<std::filesystem::path> paths;
+    for (const auto& it : std::filesystem::directory_iterator(folder))
+    {
+        paths.push_back(it.path());
+    }
+    std::sort(paths.begin(), paths.end()); // the same order everywhere
+    std::vector<std::string> inputs;
+    for (const auto& it : paths)
+    {
+        std::ifstream file(it, std::ios::binary);
+        inputs.emplace_back(std::istreambuf_iterator<char>(file),
+                            std::istreambuf_iterator<char>());
+    }
+    return inputs;
+}
+
+int fuzz(const target& it, const std::vector<std::string>& corpus, std::uint64_t seed,
+         std::uint64_t runs)
+{
+    mutator inputs(corpus, seed);
+    for (std::uint64_t run = 0; run < corpus.size() + runs; ++run)
+    {
+        current = run < corpus.size() ? corpus[run] : inputs.next();
+        try
+        {
+            it.feed(current, inputs);
+        }
+        catch (const std::exception& ex)
+        {
+            keep_input();
+            std::fprintf(stderr, "run %llu of seed %llu: %s; kept in fuzz-failure.bin\n",
+                         static_cast<unsigned long long>(run),
+                         static_cast<unsigned long long>(seed), ex.what());
+            return 1;
+        }
+    }
+    std::printf("%llu inputs: nothing found\n",
+                static_cast<unsigned long long>(corpus.size() + runs));
+    return 0;
+}
+
+} // namespace
+} // namespace pistachiopost
+
+int main(int argc, char** argv)
+{
+    using namespace pistachiopost;
+    if (argc == 5)
+    {
+        std::signal(SIGABRT, on_abort);
+        for (const auto& it : targets)
+        {
+            if (it.name == argv[1])
+            {
+                return fuzz(it, read_corpus(argv[2]), std::strtoull(argv[3], nullptr, 10),
+                            std::strtoull(argv[4], nullptr, 10));
+            }
+        }
+    }
+    std::fprintf(stderr, "usage: fuzz TARGET CORPUS SEED RUNS\n");
+    return 2;
+}
--- /dev/null
+++ b/tests/fuzz/mutator.hpp
@@ -0,0 +1,96 @@
+/// \file
+/// Makes new inputs out of known ones, always the same for the same seed.
+#pragma once
+
+#include <cstdint>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace pistachiopost {
+
+/// Mutates the inputs of a corpus.
+class mutator
+{
+public:
+    mutator(std::vector<std::string> corpus, std::uint64_t seed)
+        : corpus_(std::move(corpus)), random_(seed)
+    {
+    }
+
+    /// Returns the next input: one of the corpus after one to eight changes.
+    std::string next()
+    {
+        auto it = corpus_[below(corpus_.size())];
+        for (auto changes = 1 + below(8); changes > 0; --changes)
+        {
+            change(it);
+        }
+        it.resize(std::min(it.size(), largest));
+        return it;
+    }
+
+    /// Returns a number under `n`, which must not be 0.
+    std::size_t below(std::size_t n) { return random_() % n; }
+
+private:
+    // Fits into the buffers of a socket, so that writing it never blocks.
+    static constexpr std::size_t largest = 65'536;
+
+    void change(std::string& it)
+    {
+        const auto at = below(it.size() + 1);
+        switch (below(6))
+        {
+        case 0: // another byte
+            if (at < it.size())
+            {
+                it[at] = static_cast<char>(below(256));
+            }
+            break;
+        case 1: // a byte more
+            it.insert(at, 1, static_cast<char>(below(256)));
+            break;
+        case 2: // a stretch less
+            it.erase(at, below(16));
+            break;
+        case 3: // a stretch twice
+            it.insert(at, it.substr(at, below(64)));
+            break;
+        case 4: // the start of one input, the end of another
+        {
+            const auto& other = corpus_[below(corpus_.size())];
+            it = it.substr(0, at) + other.substr(below(other.size() + 1));
+            break;
+        }
+        default: // a token that parsers treat specially
+        {
+            static const std::vector<std::string> tokens{"\r\n",
+                                                         "\r\n\r\n",
+                                                         "\n",
+                                                         "\0",
+                                                         "0\r\n\r\n",
+                                                         "ffffffffffffffff\r\n",
+                                                         "Content-Length: 5\r\n",
+                                                         "Transfer-Encoding: chunked\r\n",
+                                                         ":",
+                                                         ",",
+                                                         "-1",
+                                                         "18446744073709551616",
+                                                         "{",
+                                                         "}",
+                                                         "[",
+                                                         "null",
+                                                         "id: ",
+                                                         "\xff"};
+            it.insert(at, tokens[below(tokens.size())]);
+            break;
+        }
+        }
+    }
+
+    std::vector<std::string> corpus_;
+    std::mt19937_64 random_;
+};
+
+} // namespace pistachiopost
