One HTTP client: the product's own store and list clients use the gateway's

Change: http_client keeps a connection over the same calls that the platform's store client used, which now uses it; httplib remains for the server of the product's own interface. The outcome of a wait on descriptors is wake_cause. Ruled out: httplib for all, which hides what is left on a connection after an answer.

--- a/source/connection/forward_attempt.hpp
+++ b/source/connection/forward_attempt.hpp
@@ -145,13 +145,13 @@
             {
                 memory_.renew();
                 renew_at = now + memory_lease<Codec>::renewal;
-                if (woken == wait_result::timeout &&
+                if (woken == wake_cause::timeout &&
                     now < std::min(silent_at, exchange_.until))
                 {
                     continue;
                 }
             }
-            if (woken == wait_result::second)
+            if (woken == wake_cause::second)
             {
                 if (peer_closed(caller))
                 {
@@ -160,7 +160,7 @@
                 caller = -1; // its next request is there; it is read afterwards
                 continue;
             }
-            if (woken == wait_result::timeout)
+            if (woken == wake_cause::timeout)
             {
                 return timed_out();
             }
--- a/source/connection/http_call.cpp
+++ b/source/connection/http_call.cpp
@@ -11,6 +11,10 @@
 {
     auto text =
         fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\n", call.method, call.target, host);
+    if (!call.known_etag.empty())
+    {
+        text += fmt::format("If-None-Match: {}\r\n", call.known_etag);
+    }
     if (call.method != "GET")
     {
         text += fmt::format("Content-Type: application/json\r\nContent-Length: {}\r\n",
@@ -20,7 +24,7 @@
     response_reader response(call.method);
     while (!response.done())
     {
-        if (wait_readable(stream.fd(), -1, until) == wait_result::timeout)
+        if (wait_readable(stream.fd(), -1, until) == wake_cause::timeout)
         {
             throw connection_error("no answer in time");
         }
@@ -30,7 +34,8 @@
         }
         response.parse(stream);
     }
-    return {response.head().status, response.take_body(), response.keep_alive()};
+    return {response.head().status, response.take_body(),
+            std::string(response.head().value("ETag")), response.keep_alive()};
 }
 
 } // namespace pistachiopost
--- a/source/connection/http_call.hpp
+++ b/source/connection/http_call.hpp
@@ -16,6 +16,7 @@
     std::string_view method;
     std::string target;
     std::string body;
+    std::string known_etag; ///< The answer is wanted only if it has another tag.
 };
 
 /// A whole answer.
@@ -23,6 +24,7 @@
 {
     int status = 0;
     std::string body;
+    std::string etag;
     bool keep_alive = false; ///< The connection can carry another call.
 };
 
--- a/source/connection/http_client.cpp
+++ b/source/connection/http_client.cpp
@@ -1,71 +1,68 @@
 #include "connection/http_client.hpp"
 
 #include <fmt/format.h>
-#include <httplib.h>
 
 #include <cctype>
 #include <utility>
 
 namespace pistachiopost {
 
-struct http_client::state
-{
-    state(endpoint to, milliseconds timeout)
-        : where(std::move(to)), client(where.address, where.port)
-    {
-        client.set_keep_alive(true);
-        client.set_tcp_nodelay(true);
-        client.set_connection_timeout(timeout);
-        client.set_read_timeout(timeout);
-        client.set_write_timeout(timeout);
-    }
+namespace {
 
-    http_answer check(const httplib::Result& result, std::string_view what) const
-    {
-        if (!result)
-        {
-            throw connection_error(fmt::format("{} at {} failed: {}", what,
-                                               to_string(where),
-                                               httplib::to_string(result.error())));
-        }
-        return {result->status, result->body, result->get_header_value("ETag")};
-    }
+// A peer that acknowledges nothing for this long is given up: half of the three seconds
+// after which the platform counts a VM as in touch again.
+constexpr milliseconds silence_limit{1'500};
 
-    endpoint where;
-    httplib::Client client;
-};
+} // namespace
 
 http_client::http_client(endpoint where, milliseconds timeout)
-    : state_(std::make_unique<state>(std::move(where), timeout))
+    : where_(std::move(where)), timeout_(timeout)
 {
 }
 
-http_client::~http_client() = default;
-http_client::http_client(http_client&&) noexcept = default;
-http_client& http_client::operator=(http_client&&) noexcept = default;
+void http_client::connect()
+{
+    stream_.emplace(connect_tcp(where_, static_cast<int>(timeout_.count())));
+    stream_->detect_silence(silence_limit);
+}
 
-http_answer http_client::get(std::string_view path, std::string_view etag)
+http_reply http_client::call(const http_call& it, milliseconds wait)
 {
-    httplib::Headers headers;
-    if (!etag.empty())
+    try
     {
-        headers.emplace("If-None-Match", etag);
+        const auto until = steady::now() + wait + timeout_;
+        if (!stream_ || peer_closed(stream_->fd()))
+        {
+            connect();
+        }
+        auto reply = make_call(*stream_, to_string(where_), it, until);
+        if (!reply.keep_alive)
+        {
+            stream_.reset();
+        }
+        return reply;
     }
-    return state_->check(state_->client.Get(std::string(path), headers),
-                         fmt::format("GET {}", path));
+    catch (const connection_error& ex)
+    {
+        stream_.reset();
+        throw connection_error(fmt::format("{} {} at {} failed: {}", it.method, it.target,
+                                           to_string(where_), ex.what()));
+    }
+}
+
+http_reply http_client::get(std::string_view path, std::string_view etag)
+{
+    return call({"GET", std::string(path), {}, std::string(etag)});
 }
 
-http_answer http_client::post(std::string_view path, std::string_view body)
+http_reply http_client::post(std::string_view path, std::string_view body)
 {
-    return state_->check(state_->client.Post(std::string(path), body.data(), body.size(),
-                                             "application/json"),
-                         fmt::format("POST {}", path));
+    return call({"POST", std::string(path), std::string(body), {}});
 }
 
-http_answer http_client::remove(std::string_view path)
+http_reply http_client::remove(std::string_view path)
 {
-    return state_->check(state_->client.Delete(std::string(path)),
-                         fmt::format("DELETE {}", path));
+    return call({"DELETE", std::string(path), {}, {}});
 }
 
 std::string encode_component(std::string_view text)
--- a/source/connection/http_client.hpp
+++ b/source/connection/http_client.hpp
@@ -2,43 +2,39 @@
 /// Short HTTP calls to one address.
 #pragma once
 
-#include "connection/connection_error.hpp"
+#include "connection/http_call.hpp"
 #include "connection/unique_fd.hpp"
 #include "request/time_types.hpp"
 
-#include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
 namespace pistachiopost {
 
-/// Answer of a short call.
-struct http_answer
-{
-    int status = 0;
-    std::string body;
-    std::string etag;
-};
-
-/// Keeps one connection and sends one call at a time.
+/// Keeps one connection and sends one call at a time. For one task.
 class http_client
 {
 public:
+    /// Each call takes at most `timeout`, the connection included.
     http_client(endpoint where, milliseconds timeout);
-    ~http_client();
-    http_client(http_client&&) noexcept;
-    http_client& operator=(http_client&&) noexcept;
 
+    /// Makes a call that the peer may hold for `wait` before it answers. Throws
+    /// connection_error; the call may have taken effect.
+    http_reply call(const http_call& it, milliseconds wait = milliseconds{0});
     /// Fetches `path`; `etag` makes the call conditional. Throws connection_error.
-    http_answer get(std::string_view path, std::string_view etag = {});
+    http_reply get(std::string_view path, std::string_view etag = {});
     /// Sends a JSON body. Throws connection_error; the call may have taken effect.
-    http_answer post(std::string_view path, std::string_view body);
+    http_reply post(std::string_view path, std::string_view body);
     /// Deletes `path`. Throws connection_error.
-    http_answer remove(std::string_view path);
+    http_reply remove(std::string_view path);
 
 private:
-    struct state;
-    std::unique_ptr<state> state_;
+    void connect();
+
+    endpoint where_;
+    milliseconds timeout_;
+    std::optional<tcp_stream> stream_;
 };
 
 /// Returns `text` with all but unreserved characters percent-encoded.
--- a/source/connection/http_reader.cpp
+++ b/source/connection/http_reader.cpp
@@ -53,11 +53,11 @@
 {
     switch (wait_readable(stream.fd(), begun ? -1 : stop_fd, until))
     {
-    case wait_result::first:
+    case wake_cause::first:
         break;
-    case wait_result::second:
+    case wake_cause::second:
         return request_outcome::closed;
-    case wait_result::timeout:
+    case wake_cause::timeout:
         return begun ? request_outcome::late : request_outcome::idle;
     }
     if (stream.receive())
--- a/source/connection/peer_link.cpp
+++ b/source/connection/peer_link.cpp
@@ -95,7 +95,7 @@
     std::string buf(max_datagram, '\0');
     constexpr std::chrono::hours forever{24};
     while (wait_readable(sock_.get(), stop_fd, steady::now() + forever) !=
-           wait_result::second)
+           wake_cause::second)
     {
         const auto n = ::recv(sock_.get(), buf.data(), buf.size(), MSG_DONTWAIT);
         if (n <= 0)
--- a/source/connection/status_server.cpp
+++ b/source/connection/status_server.cpp
@@ -57,7 +57,7 @@
 {
     constexpr std::chrono::hours forever{24};
     while (wait_readable(listener.get(), stop_fd, steady::now() + forever) !=
-           wait_result::second)
+           wake_cause::second)
     {
         try
         {
--- a/source/connection/tcp_stream.cpp
+++ b/source/connection/tcp_stream.cpp
@@ -30,7 +30,7 @@
 
 } // namespace
 
-wait_result wait_readable(int first, int second, time_point until)
+wake_cause wait_readable(int first, int second, time_point until)
 {
     std::array<pollfd, 2> waiting{pollfd{first, POLLIN, 0}, pollfd{second, POLLIN, 0}};
     for (;;)
@@ -38,11 +38,11 @@
         const int n = ::poll(waiting.data(), waiting.size(), poll_timeout(until));
         if (n > 0)
         {
-            return waiting[0].revents != 0 ? wait_result::first : wait_result::second;
+            return waiting[0].revents != 0 ? wake_cause::first : wake_cause::second;
         }
         if (n == 0 && steady::now() >= until)
         {
-            return wait_result::timeout;
+            return wake_cause::timeout;
         }
         if (n < 0 && errno != EINTR)
         {
--- a/source/connection/tcp_stream.hpp
+++ b/source/connection/tcp_stream.hpp
@@ -13,7 +13,7 @@
 namespace pistachiopost {
 
 /// What ended a wait on descriptors.
-enum class wait_result
+enum class wake_cause
 {
     first,  ///< The first descriptor is readable or closed.
     second, ///< The second one is.
@@ -22,7 +22,7 @@
 
 /// Waits until `first` or `second` is readable, or until `until`. A descriptor of -1
 /// never becomes readable.
-wait_result wait_readable(int first, int second, time_point until);
+wake_cause wait_readable(int first, int second, time_point until);
 
 /// A connection that its task reads and writes straight down.
 class tcp_stream
--- a/source/process/forward_service.hpp
+++ b/source/process/forward_service.hpp
@@ -191,9 +191,9 @@
         for (;;)
         {
             const auto woken = wait_readable(waiter.wake().get(), caller, give_up_at);
-            if (woken != wait_result::second)
+            if (woken != wake_cause::second)
             {
-                run.out_of_time = woken == wait_result::timeout;
+                run.out_of_time = woken == wake_cause::timeout;
                 auto place = state_.work.leave(waiter, steady::now());
                 if (!place)
                 {
