A fault soak of the gateway: processes, proxies, signals, promises checked from outside

Cause: the gateway had no randomized faults of our own; the fault runs play the product's own interface only. Change: 'soak' starts gateways as processes before stand-ins of the store and the backend servers that speak the platform's protocol, with a proxy on each link. Eleven kinds of disturbance come in seeded series and overlap: stop, kill, pause, settings changed with SIGHUP, a store that refuses, is silent, slow, loses answers or its history, links to it and to backend servers cut one way, silent, delayed or reset, backend servers that fail, reset midway, hang or are full, that leave, rows that lapse, and new configurations. From callers and backend servers it checks: once at most, 'not run' is true, answers and events unchanged, nothing lost around planned work, no new work at a leaving server, attempts within the route, memory given back, everything served again within 12 s.

--- /dev/null
+++ b/tests/soak/deployment.cpp
@@ -0,0 +1,228 @@
+#include "soak/deployment.hpp"
+
+#include <fcntl.h>
+#include <fmt/format.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <fstream>
+#include <thread>
+
+namespace pistachiopost::soak {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr int callers_port = 7'100;
+constexpr int readiness_port = 7'101;
+constexpr int metrics_port = 7'102;
+constexpr int peers_port = 7'103;
+
+json route(std::string_view name, std::string_view kind, std::string_view service)
+{
+    const bool stream = kind == "stream";
+    return {{"name", name},
+            {"host", "soak.test"},
+            {"prefix", fmt::format("/{}/", name)},
+            {"kind", kind},
+            {"timeout-ms", 4'000},
+            {"target-latency-ms", 300},
+            {"max-attempts", 3},
+            {"service", service},
+            {"sticky", stream},
+            {"resumable", stream},
+            {"gap-target-ms", 250}};
+}
+
+} // namespace
+
+deployment::deployment(std::filesystem::path product, std::filesystem::path work,
+                       const deployment_size& size, std::uint64_t seed)
+    : product_(std::move(product)), work_(std::move(work)), size_(size),
+      network_(fmt::format("127.{}.{}", 64 + getpid() % 128, 1 + seed % 250))
+{
+    std::filesystem::create_directories(work_);
+    for (std::size_t i = 0; i < size.engines + size.services; ++i)
+    {
+        const bool engine = i < size.engines;
+        placed_worker it;
+        it.server = std::make_unique<worker>(fmt::format("w{}", i), record);
+        it.link = std::make_unique<proxy>(it.server->where());
+        it.service = engine ? "model" : "plain";
+        workers.push_back(std::move(it));
+    }
+    configure(0);
+    for (std::size_t i = 0; i < workers.size(); ++i)
+    {
+        list(i, false);
+    }
+    for (std::size_t i = 0; i < size.gateways; ++i)
+    {
+        gateway_process it;
+        it.callers = {fmt::format("{}.{}", network_, 10 + i), callers_port};
+        it.settings = work_ / fmt::format("gateway-{}.json", i);
+        it.to_store = std::make_unique<proxy>(table.where());
+        gateways.push_back(std::move(it));
+        write_settings(i, 0);
+    }
+}
+
+deployment::~deployment()
+{
+    for (std::size_t i = 0; i < gateways.size(); ++i)
+    {
+        if (gateways[i].pid != 0)
+        {
+            signal(i, SIGKILL);
+            wait_end(i);
+        }
+    }
+}
+
+void deployment::write_settings(std::size_t gateway, std::size_t version) const
+{
+    const auto& it = gateways[gateway];
+    const auto at = [&](int port) {
+        return fmt::format("{}:{}", it.callers.address, port);
+    };
+    const json settings{{"role", "gateway"},
+                        {"vm", fmt::format("front-{}", gateway)},
+                        {"zone", fmt::format("z{}", gateway % 3)},
+                        {"region", "r"},
+                        {"listen", at(callers_port)},
+                        {"readiness", at(readiness_port)},
+                        {"metrics", at(metrics_port)},
+                        {"peers", at(peers_port)},
+                        {"store", to_string(it.to_store->where())},
+                        {"limits", {{"max_connections", 500 + version}}}};
+    std::ofstream(it.settings) << settings.dump(2);
+}
+
+void deployment::start(std::size_t gateway)
+{
+    auto& it = gateways[gateway];
+    const auto log = (work_ / fmt::format("gateway-{}.log", gateway)).string();
+    const auto product = product_.string();
+    const auto settings = "--settings=" + it.settings.string();
+    const pid_t pid = fork();
+    if (pid == 0)
+    {
+        const int out =
+            open(log.c_str(), O_CREAT | O_WRONLY | O_APPEND | O_CLOEXEC, 0644);
+        dup2(out, STDOUT_FILENO);
+        dup2(out, STDERR_FILENO);
+        close_range(3, ~0U, 0);
+        execl(product.c_str(), product.c_str(), "gateway", settings.c_str(), nullptr);
+        _exit(127);
+    }
+    if (pid < 0)
+    {
+        throw std::runtime_error("cannot start a gateway: no process is left");
+    }
+    it.pid = pid;
+}
+
+void deployment::signal(std::size_t gateway, int number) const
+{
+    if (number == SIGHUP)
+    {
+        write_settings(gateway, static_cast<std::size_t>(getpid()) % 100 + version_);
+    }
+    kill(gateways[gateway].pid, number);
+}
+
+int deployment::wait_end(std::size_t gateway)
+{
+    int status = 0;
+    waitpid(gateways[gateway].pid, &status, 0);
+    gateways[gateway].pid = 0;
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+bool deployment::ended(std::size_t gateway)
+{
+    auto& it = gateways[gateway];
+    if (it.pid != 0 && waitpid(it.pid, nullptr, WNOHANG) == it.pid)
+    {
+        it.pid = 0;
+        return true;
+    }
+    return false;
+}
+
+bool deployment::wait_ready(std::size_t gateway, milliseconds patience) const
+{
+    const auto until = steady::now() + patience;
+    const endpoint ready{gateways[gateway].callers.address, readiness_port};
+    while (steady::now() < until)
+    {
+        try
+        {
+            http_client client(ready, milliseconds{1'000});
+            if (client.get("/").status == 200)
+            {
+                return true;
+            }
+        }
+        catch (const connection_error&)
+        {
+            // Not listening yet.
+        }
+        std::this_thread::sleep_for(milliseconds{20});
+    }
+    return false;
+}
+
+void deployment::configure(std::size_t extra)
+{
+    auto routes =
+        json::array({route("read", "stream", "model"), route("look", "safe", "plain"),
+                     route("book", "unsafe", "plain")});
+    for (std::size_t i = 0; i < extra; ++i)
+    {
+        routes.push_back(route(fmt::format("extra{}", i), "safe", "plain"));
+    }
+    const json engine{
+        {"slots", 16},     {"kv-capacity", 232'000},    {"stride", 43},
+        {"step_ms", 1.02}, {"read_per_s", 2'060'000.0}, {"pairs_per_m", 0.001},
+        {"chunk", 2'048}};
+    const json document{
+        {"version", ++version_ * 3},
+        {"routes", routes},
+        {"services", json::array({json{{"name", "model"}, {"engine", engine}},
+                                  json{{"name", "plain"}}})},
+        {"tenants",
+         json::array({json{{"name", "ann"}, {"api-keys", json::array({"key-a"})}}})}};
+    table.write("op", "config", document.dump());
+}
+
+void deployment::list(std::size_t which, bool leaving)
+{
+    const auto& it = workers[which];
+    const json row{{"service", it.service},
+                   {"zone", fmt::format("z{}", which % 3)},
+                   {"slots", 16},
+                   {"state", leaving ? "draining" : "ready"},
+                   {"address", to_string(it.link->where())},
+                   {"born", 1}};
+    table.write("servers", it.server->id(), row.dump());
+}
+
+void deployment::unlist(std::size_t which)
+{
+    table.remove("servers", workers[which].server->id());
+}
+
+std::vector<endpoint> deployment::callers_addresses() const
+{
+    std::vector<endpoint> all;
+    for (const auto& it : gateways)
+    {
+        all.push_back(it.callers);
+    }
+    return all;
+}
+
+} // namespace pistachiopost::soak
--- /dev/null
+++ b/tests/soak/loopback_server.hpp
@@ -0,0 +1,121 @@
+/// \file
+/// Serves HTTP on loopback for the stand-ins of the soak.
+#pragma once
+
+#include "connection/http_reader.hpp"
+#include "connection/status_server.hpp"
+#include "process/task.hpp"
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+
+#include <atomic>
+#include <functional>
+#include <memory>
+
+namespace pistachiopost::soak {
+
+/// Accepts connections on a port of its own and serves each on a task of its own.
+class loopback_server
+{
+public:
+    using handler = std::function<void(unique_fd)>;
+
+    explicit loopback_server(handler serve)
+        : listener_(listen_tcp({"127.0.0.1", 0})), stop_(open_event_fd()),
+          serve_(std::move(serve)), accepting_([this] { accept(); })
+    {
+    }
+    loopback_server(const loopback_server&) = delete;
+    loopback_server& operator=(const loopback_server&) = delete;
+
+    ~loopback_server()
+    {
+        signal_event_fd(stop_);
+        accepting_.join();
+        while (running_ > 0)
+        {
+            running_.wait(running_.load());
+        }
+    }
+
+    /// Returns where it listens.
+    [[nodiscard]] endpoint where() const
+    {
+        sockaddr_in addr{};
+        socklen_t n = sizeof addr;
+        getsockname(listener_.get(), reinterpret_cast<sockaddr*>(&addr), &n);
+        return {"127.0.0.1", ntohs(addr.sin_port)};
+    }
+    /// Returns a descriptor that is readable once connections are to end.
+    [[nodiscard]] int stop_fd() const { return stop_.get(); }
+
+private:
+    void accept()
+    {
+        accept_until(listener_, stop_.get(), [this](unique_fd sock) {
+            auto shared = std::make_shared<unique_fd>(std::move(sock));
+            ++running_;
+            task::start_detached(
+                [this, shared] {
+                    try
+                    {
+                        serve_(std::move(*shared));
+                    }
+                    catch (const connection_error&)
+                    {
+                        // The other side went; the soak judges by its records.
+                    }
+                    --running_;
+                    running_.notify_all();
+                },
+                task_stack_bytes);
+        });
+    }
+
+    unique_fd listener_;
+    unique_fd stop_;
+    handler serve_;
+    std::atomic<int> running_ = 0;
+    task accepting_;
+};
+
+/// Serves the requests of one connection in turn while `answer` returns true.
+inline void
+serve_requests(unique_fd sock, int stop_fd,
+               const std::function<bool(tcp_stream&, received_request&)>& answer)
+{
+    tcp_stream stream(std::move(sock));
+    for (bool keep = true; keep;)
+    {
+        received_request request;
+        if (read_request(stream, {}, stop_fd, request) != request_outcome::complete)
+        {
+            return;
+        }
+        keep = answer(stream, request) && request.keep_alive;
+    }
+}
+
+/// Time that a stand-in gives a peer to take bytes.
+inline constexpr seconds send_patience{5};
+
+/// Sends an answer with a length.
+inline void send_answer(tcp_stream& stream, int status, std::string_view fields,
+                        std::string_view body)
+{
+    stream.send("HTTP/1.1 " + std::to_string(status) + " x\r\n" + std::string(fields) +
+                    "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+                    std::string(body),
+                steady::now() + send_patience);
+}
+
+/// Drops a connection so that the other side sees a reset.
+inline void reset_connection(tcp_stream& stream)
+{
+    const linger now{1, 0};
+    setsockopt(stream.fd(), SOL_SOCKET, SO_LINGER, &now, sizeof now);
+    stream.close();
+}
+
+} // namespace pistachiopost::soak
--- /dev/null
+++ b/tests/soak/main.cpp
@@ -0,0 +1,146 @@
+/// \file
+/// The soak: gateways as processes, seeded disturbances, promises checked from outside.
+#include "soak/callers.hpp"
+#include "soak/checks.hpp"
+#include "soak/deployment.hpp"
+#include "soak/faults.hpp"
+
+#include "process/task.hpp"
+
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+
+#include <csignal>
+
+DEFINE_string(product, "", "path of the pistachiopost program");
+DEFINE_string(work, "", "folder for settings and logs");
+DEFINE_uint64(seed, 1, "seed of callers and disturbances");
+DEFINE_uint32(gateways, 3, "gateway processes");
+DEFINE_uint32(engines, 5, "stand-ins of model engines");
+DEFINE_uint32(services, 3, "stand-ins of plain services");
+DEFINE_uint32(callers, 12, "callers at once");
+DEFINE_uint32(length_ms, 8'000, "time in which disturbances begin");
+
+namespace pistachiopost::soak {
+namespace {
+
+// A gateway whose neighbours are sound serves within this time: the platform's bound on
+// recovery.
+constexpr milliseconds recovery_limit{12'000};
+// Memory that was set aside is free again within this time of the last request.
+constexpr milliseconds free_limit{4'000};
+
+/// Asks each gateway for one of each sort until it is served.
+void check_recovery(deployment& it, std::vector<std::string>& broken)
+{
+    const auto until = steady::now() + recovery_limit;
+    for (std::size_t gateway = 0; gateway < it.gateways.size(); ++gateway)
+    {
+        if (!it.wait_ready(gateway, recovery_limit))
+        {
+            broken.push_back(fmt::format("gateway {} is not ready again", gateway));
+            continue;
+        }
+        for (const auto sort : {call_sort::look_up, call_sort::booking, call_sort::note,
+                                call_sort::dossier})
+        {
+            call_record last;
+            for (int n = 0; last.status != 200 && (n == 0 || steady::now() < until); ++n)
+            {
+                last = call_record();
+                last.id =
+                    fmt::format("after-{}-{}-{}", gateway, static_cast<int>(sort), n);
+                last.sort = sort;
+                last.target = sort == call_sort::look_up   ? "/look/"
+                              : sort == call_sort::booking ? "/book/"
+                                                           : "/read/";
+                tcp_stream stream(connect_tcp(it.gateways[gateway].callers, 1'000));
+                make_call(stream, last, {});
+            }
+            if (last.status != 200)
+            {
+                broken.push_back(fmt::format("{} is not served again: status {}", last.id,
+                                             last.status));
+            }
+        }
+    }
+}
+
+void check_memory(deployment& it, std::vector<std::string>& broken)
+{
+    const auto until = steady::now() + free_limit;
+    for (const auto& one : it.workers)
+    {
+        while (one.server->reservations() > 0 && steady::now() < until)
+        {
+            wait_readable(-1, -1, steady::now() + milliseconds{50});
+        }
+        if (const auto n = one.server->reservations(); n > 0)
+        {
+            broken.push_back(
+                fmt::format("{} still holds {} reservations", one.server->id(), n));
+        }
+    }
+}
+
+int run()
+{
+    deployment target(FLAGS_product, FLAGS_work,
+                      {FLAGS_gateways, FLAGS_engines, FLAGS_services}, FLAGS_seed);
+    for (std::size_t i = 0; i < target.gateways.size(); ++i)
+    {
+        target.start(i);
+    }
+    std::vector<std::string> broken;
+    for (std::size_t i = 0; i < target.gateways.size(); ++i)
+    {
+        if (!target.wait_ready(i, recovery_limit))
+        {
+            broken.push_back(fmt::format("gateway {} is not ready", i));
+        }
+    }
+    caller_group callers(target.callers_addresses(), FLAGS_seed, FLAGS_callers);
+    fault_maker faults(target, FLAGS_seed);
+    faults.run(milliseconds{FLAGS_length_ms});
+    const auto calls = callers.finish();
+    const auto runs = target.record.take();
+    auto more = check_promises(calls, runs, faults.done());
+    broken.insert(broken.end(), more.begin(), more.end());
+    broken.insert(broken.end(), faults.broken().begin(), faults.broken().end());
+    check_recovery(target, broken);
+    check_memory(target, broken);
+
+    const auto served = std::count_if(calls.begin(), calls.end(), [](const auto& it) {
+        return it.status == 200 && it.whole;
+    });
+    fmt::print("seed {}: {} of {} calls served, {} promises broken;", FLAGS_seed, served,
+               calls.size(), broken.size());
+    for (const auto& it : faults.done())
+    {
+        fmt::print(" {};", it.name);
+    }
+    fmt::print("\n");
+    for (const auto& it : broken)
+    {
+        fmt::print("  broken: {}\n", it);
+    }
+    return broken.empty() ? 0 : 1;
+}
+
+} // namespace
+} // namespace pistachiopost::soak
+
+int main(int argc, char** argv)
+{
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    std::signal(SIGPIPE, SIG_IGN);
+    try
+    {
+        return pistachiopost::soak::run();
+    }
+    catch (const std::exception& it)
+    {
+        fmt::print(stderr, "soak: {}\n", it.what());
+        return 1;
+    }
+}
--- /dev/null
+++ b/tests/soak/store.cpp
@@ -0,0 +1,213 @@
+#include "soak/store.hpp"
+
+#include <openssl/evp.h>
+
+#include <thread>
+
+namespace pistachiopost::soak {
+
+namespace {
+
+using nlohmann::json;
+
+std::string encode_base64(std::string_view bytes)
+{
+    std::string out((bytes.size() + 2) / 3 * 4 + 1, '\0'); // and the final zero
+    const int n = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(out.data()),
+                                  reinterpret_cast<const unsigned char*>(bytes.data()),
+                                  static_cast<int>(bytes.size()));
+    out.resize(static_cast<std::size_t>(n));
+    return out;
+}
+
+/// Returns the value of a query's field; empty if it has none.
+std::string query_value(std::string_view target, std::string_view name)
+{
+    const auto key = std::string(name) + "=";
+    auto at = target.find("?" + key);
+    at = at == std::string_view::npos ? target.find("&" + key) : at;
+    if (at == std::string_view::npos)
+    {
+        return "";
+    }
+    const auto rest = target.substr(at + 1 + key.size());
+    return std::string(rest.substr(0, rest.find('&')));
+}
+
+std::uint64_t query_number(std::string_view target, std::string_view name)
+{
+    const auto text = query_value(target, name);
+    return text.empty() ? 0 : std::stoull(text);
+}
+
+json row_json(const std::string& name, const std::string& key, std::string_view value,
+              std::uint64_t version, bool removed)
+{
+    json it{{"table", name}, {"part", ""}, {"key", key}, {"ver", version}};
+    if (removed)
+    {
+        it["deleted"] = true;
+    }
+    else
+    {
+        it["value"] = value;
+    }
+    return it;
+}
+
+} // namespace
+
+store::store()
+    : server_([this](unique_fd sock) {
+          serve_requests(std::move(sock), server_.stop_fd(),
+                         [this](auto& stream, auto& it) { return answer(stream, it); });
+      })
+{
+}
+
+void store::write(const std::string& name, const std::string& key, std::string_view value)
+{
+    const std::lock_guard lock(mutex_);
+    put(name, key, {encode_base64(value), ++version_, false});
+}
+
+void store::remove(const std::string& name, const std::string& key)
+{
+    const std::lock_guard lock(mutex_);
+    put(name, key, {"", ++version_, true});
+}
+
+void store::put(const std::string& name, const std::string& key, row it)
+{
+    tables_[name][key] = std::move(it);
+    changed_.notify_all();
+}
+
+void store::set_mode(store_mode mode)
+{
+    const std::lock_guard lock(mutex_);
+    mode_ = mode;
+    changed_.notify_all();
+}
+
+void store::forget_history()
+{
+    const std::lock_guard lock(mutex_);
+    forgotten_ = version_;
+    for (auto& [name, rows] : tables_)
+    {
+        std::erase_if(rows, [](const auto& it) { return it.second.removed; });
+    }
+}
+
+bool store::answer(tcp_stream& stream, const received_request& request)
+{
+    store_mode mode = store_mode::sound;
+    {
+        const std::lock_guard lock(mutex_);
+        mode = mode_;
+    }
+    if (mode == store_mode::refusing)
+    {
+        send_answer(stream, 503, "", "{}");
+        return true;
+    }
+    if (mode == store_mode::silent)
+    {
+        wait_readable(stream.fd(), server_.stop_fd(), steady::now() + seconds{10});
+        return false;
+    }
+    if (mode == store_mode::slow)
+    {
+        std::this_thread::sleep_for(seconds{1});
+    }
+    int status = 200;
+    const auto body = carry_out(request, status);
+    if (mode == store_mode::losing_answers)
+    {
+        reset_connection(stream);
+        return false;
+    }
+    send_answer(stream, status, "Content-Type: application/json\r\n", body.dump());
+    return true;
+}
+
+json store::carry_out(const received_request& request, int& status)
+{
+    const std::string_view target = request.head.target;
+    const auto name = query_value(target, "table");
+    if (target.starts_with("/v1/rows-get"))
+    {
+        return get(name);
+    }
+    if (target.starts_with("/v1/rows-feed"))
+    {
+        const milliseconds patience{query_number(target, "wait-ms")};
+        return follow(name, query_number(target, "since-rev"), patience, status);
+    }
+    if (target.starts_with("/v1/rows-tx"))
+    {
+        return write_all(json::parse(request.body));
+    }
+    status = 404;
+    return json::object();
+}
+
+json store::get(const std::string& name)
+{
+    const std::lock_guard lock(mutex_);
+    auto rows = json::array();
+    for (const auto& [key, it] : tables_[name])
+    {
+        if (!it.removed)
+        {
+            rows.push_back(row_json(name, key, it.value, it.version, false));
+        }
+    }
+    return {{"ver", version_}, {"rows", rows}, {"has-more", false}};
+}
+
+json store::follow(const std::string& name, std::uint64_t since, milliseconds patience,
+                   int& status)
+{
+    std::unique_lock lock(mutex_);
+    const auto newer = [&](const auto& it) { return it.second.version > since; };
+    // Short enough that the end of the run is not held up.
+    const auto longest = std::min(patience, milliseconds{500});
+    changed_.wait_for(lock, longest, [&] {
+        const auto& rows = tables_[name];
+        return mode_ != store_mode::sound || std::any_of(rows.begin(), rows.end(), newer);
+    });
+    if (since < forgotten_)
+    {
+        status = 410;
+        return json::object();
+    }
+    std::map<std::uint64_t, json> in_order;
+    for (const auto& [key, it] : tables_[name])
+    {
+        if (it.version > since)
+        {
+            in_order[it.version] = row_json(name, key, it.value, it.version, it.removed);
+        }
+    }
+    auto rows = json::array();
+    for (auto& [version, it] : in_order)
+    {
+        rows.push_back(std::move(it));
+    }
+    return {{"ver", version_}, {"rows", rows}};
+}
+
+json store::write_all(const json& body)
+{
+    const std::lock_guard lock(mutex_);
+    ++version_;
+    for (const auto& it : body.at("writes"))
+    {
+        put(it.at("table"), it.at("key"), {it.at("value"), version_, false});
+    }
+    return {{"ver", version_}};
+}
+
+} // namespace pistachiopost::soak
--- /dev/null
+++ b/tests/soak/worker.cpp
@@ -0,0 +1,156 @@
+#include "soak/worker.hpp"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <thread>
+
+namespace pistachiopost::soak {
+
+namespace {
+
+// Pauses of the stand-ins, far under every target of the routes.
+constexpr milliseconds event_pause{6};
+constexpr milliseconds call_time{8};
+
+} // namespace
+
+void run_record::add(const std::string& request, run it)
+{
+    const std::lock_guard lock(mutex_);
+    runs_[request].push_back(std::move(it));
+}
+
+std::map<std::string, std::vector<run_record::run>> run_record::take()
+{
+    const std::lock_guard lock(mutex_);
+    return std::move(runs_);
+}
+
+std::string event_of(std::string_view id, int n)
+{
+    return fmt::format("id: {}\ndata: {}-{}\n\n", n, id, n);
+}
+
+std::string answer_of(std::string_view id)
+{
+    return fmt::format("answer to {}", id);
+}
+
+worker::worker(std::string id, run_record& record)
+    : id_(std::move(id)), record_(record), server_([this](unique_fd sock) {
+          serve_requests(std::move(sock), server_.stop_fd(),
+                         [this](auto& stream, auto& it) { return answer(stream, it); });
+      })
+{
+}
+
+std::size_t worker::reservations()
+{
+    const std::lock_guard lock(mutex_);
+    std::erase_if(reserved_,
+                  [now = steady::now()](const auto& it) { return it.second <= now; });
+    return reserved_.size();
+}
+
+std::string worker::proof(const received_request& request) const
+{
+    return fmt::format("Request-Id: {}\r\nResponse-Stamp: {}\r\n",
+                       request.head.value("Request-Id"), id_);
+}
+
+bool worker::answer(tcp_stream& stream, const received_request& request)
+{
+    const auto& head = request.head;
+    if (head.target == "/v1/order")
+    {
+        return answer_order(stream, request);
+    }
+    if (const auto wanted = head.value("Expect-Instance");
+        !wanted.empty() && wanted != id_)
+    {
+        send_answer(stream, 421, proof(request), "");
+        return true;
+    }
+    const auto mode = mode_.load();
+    if (mode == worker_mode::full)
+    {
+        send_answer(stream, 503, proof(request) + "Not-Run: 1\r\n", "");
+        return true;
+    }
+    const std::string id(head.value("Request-Id"));
+    record_.add(id, {id_, steady::now(), std::string(head.value("Tenant")), head.target,
+                     request.body.size(), head.find("Api-Key") != nullptr});
+    if (mode == worker_mode::silent)
+    {
+        wait_readable(stream.fd(), server_.stop_fd(), steady::now() + seconds{10});
+        return false;
+    }
+    if (mode == worker_mode::failing && served_++ % 2 == 0)
+    {
+        send_answer(stream, 500, proof(request), "failed");
+        return true;
+    }
+    if (!head.value("Token-Count").empty())
+    {
+        return answer_stream(stream, request);
+    }
+    std::this_thread::sleep_for(call_time);
+    if (mode == worker_mode::resetting)
+    {
+        reset_connection(stream);
+        return false;
+    }
+    send_answer(stream, 200, proof(request), answer_of(id));
+    return true;
+}
+
+bool worker::answer_order(tcp_stream& stream, const received_request& request)
+{
+    const auto order = nlohmann::json::parse(request.body);
+    const std::string name = order.at("id");
+    {
+        const std::lock_guard lock(mutex_);
+        if (order.at("op") == "reserve")
+        {
+            const milliseconds hold{order.at("hold-ms").get<milliseconds::rep>()};
+            reserved_[name] = steady::now() + hold;
+        }
+        else
+        {
+            reserved_.erase(name);
+        }
+    }
+    send_answer(stream, 200, "Content-Type: application/json\r\n", R"({"available":1})");
+    return true;
+}
+
+bool worker::answer_stream(tcp_stream& stream, const received_request& request)
+{
+    const std::string id(request.head.value("Request-Id"));
+    const auto last = request.head.value("Last-Event-Id");
+    const int first = last.empty() ? 1 : std::stoi(std::string(last)) + 1;
+    const auto until = steady::now() + send_patience;
+    stream.send(
+        "HTTP/1.1 200 OK\r\n" + proof(request) +
+            "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+        until);
+    const bool breaks = mode_ == worker_mode::resetting;
+    for (int n = first; n <= stream_events; ++n)
+    {
+        std::this_thread::sleep_for(event_pause);
+        auto event = event_of(id, n);
+        if (breaks && n == first + 3)
+        {
+            event.resize(event.size() / 2); // in the middle of an event
+            stream.send(fmt::format("{:x}\r\n{}", event.size() + 9, event), until);
+            reset_connection(stream);
+            return false;
+        }
+        stream.send(fmt::format("{:x}\r\n{}\r\n", event.size(), event), until);
+    }
+    stream.send("0\r\n\r\n", until);
+    return true;
+}
+
+} // namespace pistachiopost::soak
--- /dev/null
+++ b/tests/soak/worker.hpp
@@ -0,0 +1,85 @@
+/// \file
+/// Stand-in for a backend server, which can misbehave, and the record of what ran.
+#pragma once
+
+#include "soak/loopback_server.hpp"
+
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace pistachiopost::soak {
+
+/// What backend servers saw; shared by all of them.
+class run_record
+{
+public:
+    /// One start of a request at a backend server.
+    struct run
+    {
+        std::string worker;
+        time_point at;
+        std::string customer;
+        std::string target;
+        std::size_t body_bytes = 0;
+        bool has_key = false; ///< The caller's key was passed on.
+    };
+
+    void add(const std::string& request, run it);
+    /// Returns the runs by request.
+    [[nodiscard]] std::map<std::string, std::vector<run>> take();
+
+private:
+    std::mutex mutex_;
+    std::map<std::string, std::vector<run>> runs_;
+};
+
+/// How a backend server behaves.
+enum class worker_mode
+{
+    sound,
+    failing,   ///< Answers every second request with 500.
+    resetting, ///< Runs the request, then resets the connection midway.
+    silent,    ///< Runs the request and says nothing more.
+    full       ///< Answers 503, not run.
+};
+
+/// Number of events of each stream.
+inline constexpr int stream_events = 12;
+
+/// Returns event `n` of the answer to the request `id`, whichever server makes it.
+std::string event_of(std::string_view id, int n);
+/// Returns the whole answer to a plain call.
+std::string answer_of(std::string_view id);
+
+/// A backend server: streams, plain calls and reservations of memory.
+class worker
+{
+public:
+    worker(std::string id, run_record& record);
+
+    [[nodiscard]] endpoint where() const { return server_.where(); }
+    [[nodiscard]] const std::string& id() const { return id_; }
+    void set_mode(worker_mode mode) { mode_ = mode; }
+    /// Returns the number of reservations that are held.
+    [[nodiscard]] std::size_t reservations();
+
+private:
+    bool answer(tcp_stream& stream, const received_request& request);
+    bool answer_order(tcp_stream& stream, const received_request& request);
+    bool answer_stream(tcp_stream& stream, const received_request& request);
+    [[nodiscard]] std::string proof(const received_request& request) const;
+
+    std::string id_;
+    run_record& record_;
+    std::atomic<worker_mode> mode_ = worker_mode::sound;
+    std::atomic<unsigned> served_ = 0;
+    std::mutex mutex_;
+    std::map<std::string, time_point> reserved_; ///< Until when, by name.
+    loopback_server server_;
+};
+
+} // namespace pistachiopost::soak
--- /dev/null
+++ b/utilities/soak.sh
@@ -0,0 +1,21 @@
+#!/usr/bin/env bash
+# Runs the soak of the gateway with a range of seeds, five at a time, and keeps the logs of
+# those that broke a promise. Usage: bash utilities/soak.sh [FIRST_SEED LAST_SEED [FLAGS...]],
+# by default ten fresh seeds. FLAGS go to the soak, for instance --gateways=60.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+cmake --preset release >/dev/null
+cmake --build --preset release --target soak pistachiopost >/dev/null
+first=${1:-$((RANDOM * 10))}
+last=${2:-$((first + 9))}
+shift $(($# < 2 ? $# : 2))
+work=$(mktemp -d)
+export work
+seq "$first" "$last" | xargs -P "${JOBS:-5}" -I{} bash -c \
+  'seed=$0; build/release/tests/soak --seed="$seed" --work="$work/$seed" "$@" \
+     --product="$PWD/build/release/source/pistachiopost" >"$work/$seed.txt" 2>&1 \
+     && rm -rf "${work:?}/$seed" || true' {} "$@"
+cat $(seq -f "$work/%g.txt" "$first" "$last")
+bad=$(grep -L ' 0 promises broken' "$work"/*.txt | wc -l)
+echo "$((last - first + 1 - bad)) passed, $bad failed; logs of the failed ones are in $work"
+[ "$bad" -eq 0 ]
