A model of the engines in simulated time that ranks policies in seconds

Cause: policies could be tried only on the users' bench. Change: 'model' plays a seeded load of three kinds of prompts with swings before engines that work in passes, read in chunks, read parts for others and hold memory, under the product's own dispatchers with word between them, and under two baselines.

--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -250,7 +250,7 @@
         received_answer it;
         const auto until = steady::now() + seconds{10};
         while (!reader.done() &&
-               wait_readable(caller.fd(), -1, until) == wait_result::first)
+               wait_readable(caller.fd(), -1, until) == wake_cause::first)
         {
             const bool open = caller.receive();
             reader.parse(caller);
--- a/tests/gateway/gateway_front_test.cpp
+++ b/tests/gateway/gateway_front_test.cpp
@@ -117,7 +117,7 @@
     auto caller = gateway.connect();
     signal_event_fd(gateway.state->stop_fd);
     cr_assert_eq(wait_readable(caller.fd(), -1, steady::now() + seconds{5}),
-                 wait_result::first);
+                 wake_cause::first);
     cr_assert(peer_closed(caller.fd()));
 }
 
--- a/tests/gateway/gateway_stream_test.cpp
+++ b/tests/gateway/gateway_stream_test.cpp
@@ -81,7 +81,7 @@
             begin_events(stream, request);
             send_chunk(stream, event(1));
             const auto woken = wait_readable(stream.fd(), -1, steady::now() + seconds{5});
-            closed = woken == wait_result::first && !stream.receive();
+            closed = woken == wake_cause::first && !stream.receive();
         });
         gateway_fixture gateway;
         gateway.add(server, "i-1", "model");
--- /dev/null
+++ b/tests/model/fleet_model.cpp
@@ -0,0 +1,102 @@
+#include "model/fleet_model.hpp"
+
+#include <fmt/format.h>
+
+namespace pistachiopost::model {
+
+namespace {
+
+double quantile(std::vector<double> values, double q)
+{
+    if (values.empty())
+    {
+        return 0;
+    }
+    std::sort(values.begin(), values.end());
+    return values[static_cast<std::size_t>(q * static_cast<double>(values.size() - 1))];
+}
+
+double share(std::size_t part, std::size_t whole)
+{
+    return whole == 0 ? 1 : static_cast<double>(part) / static_cast<double>(whole);
+}
+
+/// Share on time in the second with most requests.
+double crest_share(const run_result& it)
+{
+    const auto most =
+        std::max_element(it.asked_in_second.begin(), it.asked_in_second.end());
+    const auto n = static_cast<std::size_t>(most - it.asked_in_second.begin());
+    return share(n < it.on_time_in_second.size() ? it.on_time_in_second[n] : 0, *most);
+}
+
+double worst_customer_share(const run_result& it)
+{
+    double worst = 1;
+    for (std::size_t i = 0; i < customers; ++i)
+    {
+        worst = std::min(worst, share(it.on_time[i], it.asked[i]));
+    }
+    return worst;
+}
+
+} // namespace
+
+engine_model sheet_engine()
+{
+    engine_model it;
+    it.slots = 16;
+    it.memory_tokens = 232'000;
+    it.step_ms = 1.02;
+    it.step_ms_per_writer = 0.00226;
+    it.step_ms_per_1k = 0.00431;
+    it.read_tokens_per_ms = 206;
+    it.read_ms_per_million = 0.138;
+    it.read_chunk = 2'048;
+    it.steps_per_pass = 43;
+    return it;
+}
+
+double patience_ms(const prompt_kind& kind)
+{
+    return std::max({2'000.0, 4 * kind.target_ms, 8 * kind.pause_ms});
+}
+
+double earned_worth(const run_result& result)
+{
+    double earned = 0;
+    double due = 0;
+    for (std::size_t i = 0; i < result.kinds.size(); ++i)
+    {
+        const auto& it = result.kinds[i];
+        const auto& kind = prompt_kinds()[i];
+        const auto on_time = static_cast<double>(it.on_time);
+        earned += kind.worth * on_time +
+                  kind.late_worth * (static_cast<double>(it.served) - on_time);
+        due += kind.worth * static_cast<double>(it.asked);
+    }
+    return due == 0 ? 1 : earned / due;
+}
+
+std::string to_table(std::string_view policy, const run_result& result)
+{
+    std::string out;
+    for (std::size_t i = 0; i < result.kinds.size(); ++i)
+    {
+        const auto& it = result.kinds[i];
+        out += fmt::format(
+            "| {} | {} | {} | {:.3f} | {:.3f} | {:.0f} | {:.0f} | {:.0f} | "
+            "{:.3f} |\n",
+            policy, prompt_kinds()[i].name, it.asked, share(it.on_time, it.asked),
+            share(it.served, it.asked), quantile(it.first_event_ms, 0.5),
+            quantile(it.first_event_ms, 0.95), quantile(it.first_event_ms, 0.99),
+            share(it.late_pauses, std::max<std::size_t>(it.served, 1)));
+    }
+    out += fmt::format("| {} | all: worth {:.3f}, at the crest {:.3f}, worst "
+                       "customer {:.3f}, {:.1f}M tokens in vain |\n",
+                       policy, earned_worth(result), crest_share(result),
+                       worst_customer_share(result), result.tokens_in_vain / 1e6);
+    return out;
+}
+
+} // namespace pistachiopost::model
