--- a/utilities/check-layers.sh
+++ b/utilities/check-layers.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
-# Fails if a file that decides includes HTTP, nghttp2, JSON or msgpack, or if a
-# deciding function reads a clock, or if a file outside platform/ knows its names. Encoding belongs in source/connection, in the
-# document files beside settings and versions, and nowhere else.
+# Fails if a file that decides includes HTTP, nghttp2, JSON or msgpack, if a deciding
+# function reads a clock, or if a file outside platform/ knows its names. Encoding belongs
+# in source/connection, in the document files beside settings and versions, and nowhere else.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -20,7 +20,8 @@
 deciders="$deciders source/process/crash_board.* source/process/retry_budget.* source/process/backend_*.[ch]pp"
 deciders="$deciders source/process/subset.* source/process/claim_batcher.hpp source/process/entry_router.hpp"
 deciders="$deciders source/process/load_account.* source/process/placement.* source/process/dispatcher.*"
-deciders="$deciders source/process/service_budgets.*"
+deciders="$deciders source/process/service_budgets.* source/process/answer_delays.*"
+deciders="$deciders source/process/burn_report.* source/process/prompt_parts.*"
 bad=$(grep -rnE "$clock" $deciders || true)
 if [ -n "$bad" ]; then
   echo "these functions decide and must take the present time as an argument:" >&2
