--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -15,21 +15,6 @@
 constexpr milliseconds usual_pause{20};
 constexpr milliseconds refused_pause{100};
 
-std::string_view path_of(call_sort sort)
-{
-    switch (sort)
-    {
-    case call_sort::look_up:
-        return "/look/";
-    case call_sort::booking:
-        return "/book/";
-    case call_sort::note:
-    case call_sort::dossier:
-        break;
-    }
-    return "/read/";
-}
-
 std::string prompt_fields(call_sort sort)
 {
     if (sort == call_sort::note)
@@ -50,6 +35,21 @@
 
 } // namespace
 
+std::string_view path_of(call_sort sort)
+{
+    switch (sort)
+    {
+    case call_sort::look_up:
+        return "/look/";
+    case call_sort::booking:
+        return "/book/";
+    case call_sort::note:
+    case call_sort::dossier:
+        break;
+    }
+    return "/read/";
+}
+
 bool make_call(tcp_stream& stream, call_record& it, std::optional<int> leave_after_events)
 {
     it.sent = steady::now();
--- a/tests/soak/callers.hpp
+++ b/tests/soak/callers.hpp
@@ -49,6 +49,8 @@
 inline constexpr milliseconds stated_time{6'000};
 inline constexpr milliseconds caller_patience{10'000};
 
+/// Returns the prefix of the route for calls of this sort.
+std::string_view path_of(call_sort sort);
 /// Makes one call over `stream`; false if the connection cannot carry another one.
 bool make_call(tcp_stream& stream, call_record& it,
                std::optional<int> leave_after_events);
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -51,9 +51,7 @@
                 last.id =
                     fmt::format("after-{}-{}-{}", gateway, static_cast<int>(sort), n);
                 last.sort = sort;
-                last.target = sort == call_sort::look_up   ? "/look/"
-                              : sort == call_sort::booking ? "/book/"
-                                                           : "/read/";
+                last.target = path_of(sort);
                 tcp_stream stream(connect_tcp(it.gateways[gateway].callers, 1'000));
                 make_call(stream, last, {});
             }
--- a/tests/soak/store.cpp
+++ b/tests/soak/store.cpp
@@ -1,6 +1,6 @@
 #include "soak/store.hpp"
 
-#include <openssl/evp.h>
+#include "connection/base64.hpp"
 
 #include <thread>
 
@@ -10,16 +10,6 @@
 
 using nlohmann::json;
 
-std::string encode_base64(std::string_view bytes)
-{
-    std::string out((bytes.size() + 2) / 3 * 4 + 1, '\0'); // and the final zero
-    const int n = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(out.data()),
-                                  reinterpret_cast<const unsigned char*>(bytes.data()),
-                                  static_cast<int>(bytes.size()));
-    out.resize(static_cast<std::size_t>(n));
-    return out;
-}
-
 /// Returns the value of a query's field; empty if it has none.
 std::string query_value(std::string_view target, std::string_view name)
 {
