--- a/source/process/task.hpp
+++ b/source/process/task.hpp
@@ -47,7 +47,6 @@
 
 /// Waits the same, but calls `look` with true on SIGHUP and with false after each
 /// `interval`.
-int wait_for_stop_signal(const std::function<void(bool)>& look,
-                         milliseconds interval);
+int wait_for_stop_signal(const std::function<void(bool)>& look, milliseconds interval);
 
 } // namespace pistachiopost
--- a/tests/fuzz/main.cpp
+++ b/tests/fuzz/main.cpp
@@ -2,10 +2,11 @@
 /// Seeded fuzzing of what comes from outside: fuzz TARGET CORPUS SEED RUNS.
 #include "fuzz/targets.hpp"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <array>
 #include <csignal>
-#include <cstdio>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -14,6 +15,8 @@
 #include <string_view>
 #include <unistd.h>
 
+// The sanitizers look for functions of these names.
+// NOLINTBEGIN(bugprone-reserved-identifier,readability-identifier-naming)
 extern "C" const char* __asan_default_options()
 {
     return "abort_on_error=1";
@@ -22,6 +25,7 @@
 {
     return "abort_on_error=1:print_stacktrace=1";
 }
+// NOLINTEND(bugprone-reserved-identifier,readability-identifier-naming)
 
 namespace pistachiopost {
 namespace {
@@ -85,14 +89,12 @@
         catch (const std::exception& ex)
         {
             keep_input();
-            std::fprintf(stderr, "run %llu of seed %llu: %s; kept in fuzz-failure.bin\n",
-                         static_cast<unsigned long long>(run),
-                         static_cast<unsigned long long>(seed), ex.what());
+            fmt::print(stderr, "run {} of seed {}: {}; kept in fuzz-failure.bin\n", run,
+                       seed, ex.what());
             return 1;
         }
     }
-    std::printf("%llu inputs: nothing found\n",
-                static_cast<unsigned long long>(corpus.size() + runs));
+    fmt::print("{} inputs: nothing found\n", corpus.size() + runs);
     return 0;
 }
 
@@ -114,6 +116,6 @@
             }
         }
     }
-    std::fprintf(stderr, "usage: fuzz TARGET CORPUS SEED RUNS\n");
+    fmt::print(stderr, "usage: fuzz TARGET CORPUS SEED RUNS\n");
     return 2;
 }
--- a/tests/fuzz/mutator.hpp
+++ b/tests/fuzz/mutator.hpp
@@ -68,7 +68,7 @@
             static const std::vector<std::string> tokens{"\r\n",
                                                          "\r\n\r\n",
                                                          "\n",
-                                                         "\0",
+                                                         std::string(1, '\0'),
                                                          "0\r\n\r\n",
                                                          "ffffffffffffffff\r\n",
                                                          "Content-Length: 5\r\n",
