Burn report in short steps; the soak's change of settings has a name

Cause: read as a newcomer: one function of seventy lines, and settings rewritten inside a function that sends a signal. Change: make_burn_report is split by step; change_settings writes and signals. Ruled out: any change of behaviour; the expected output of the command is the same.

--- a/source/process/burn_report.cpp
+++ b/source/process/burn_report.cpp
@@ -107,6 +107,78 @@
     }
 }
 
+/// What is counted on the way.
+struct counts_by
+{
+    std::map<std::string, counters> last; ///< Of each gateway.
+    std::map<std::int64_t, burn_window> windows;
+    std::map<std::string, burn_line> customers;
+};
+
+std::vector<const metrics_sample*> in_order_of_time(std::span<const metrics_sample> from)
+{
+    std::vector<const metrics_sample*> result;
+    for (const auto& it : from)
+    {
+        result.push_back(&it);
+    }
+    std::stable_sort(result.begin(), result.end(),
+                     [](const auto* a, const auto* b) { return a->time_s < b->time_s; });
+    return result;
+}
+
+/// Adds what a gateway counted since its last sample.
+void count_sample(const metrics_sample& sample, burn_report& report, counts_by& into)
+{
+    const auto number =
+        static_cast<std::int64_t>(std::floor(sample.time_s / report.window_s));
+    auto& window = into.windows[number];
+    window.from_s = static_cast<double>(number) * report.window_s;
+    auto& before = into.last[sample.vm];
+    const auto now = counters_of(sample);
+    for (const auto& [key, n] : now)
+    {
+        const auto& [which, customer, grade] = key;
+        const auto old = before[key];
+        const auto added = n >= old ? n - old : n;
+        window.classes[which].counts[grade] += added;
+        report.by_class[which].counts[grade] += added;
+        auto& line = into.customers[customer];
+        line.name = customer.empty() ? "(no customer)" : customer;
+        line.counts[grade] += added;
+    }
+    before = now;
+}
+
+void take_windows(burn_report& report, const counts_by& from)
+{
+    for (const auto& [number, it] : from.windows)
+    {
+        const auto all = it.all();
+        if (all.total() == 0)
+        {
+            continue;
+        }
+        report.windows.push_back(it);
+        if (all.total() > report.crest.total())
+        {
+            report.crest.counts = all.counts;
+        }
+    }
+}
+
+void take_customers(burn_report& report, const counts_by& from)
+{
+    for (const auto& [name, it] : from.customers)
+    {
+        report.by_customer.push_back(it);
+    }
+    std::stable_sort(report.by_customer.begin(), report.by_customer.end(),
+                     [&](const auto& a, const auto& b) {
+                         return a.burn(report.objectives) > b.burn(report.objectives);
+                     });
+}
+
 std::string row(const burn_line& it, const service_objectives& objectives)
 {
     return fmt::format("{:24} {:>9} {:>9.2f} {:>9.2f} {:>9.2f}\n", it.name, it.total(),
@@ -152,69 +224,25 @@
 burn_report make_burn_report(std::span<const metrics_sample> samples,
                              const service_objectives& objectives, double window_s)
 {
-    std::vector<const metrics_sample*> in_order;
-    for (const auto& it : samples)
-    {
-        in_order.push_back(&it);
-    }
-    std::stable_sort(in_order.begin(), in_order.end(),
-                     [](const auto* a, const auto* b) { return a->time_s < b->time_s; });
-
-    std::map<std::string, counters> last; // by gateway
-    std::map<std::int64_t, burn_window> windows;
-    std::map<std::string, burn_line> customers;
     burn_report report;
     report.objectives = objectives;
     report.window_s = window_s;
+    report.crest.name = "busiest window";
+    report.short_beside_long.name = "short beside most long";
+    report.short_alone.name = "short beside fewest long";
     for (std::size_t i = 0; i < length_class_count; ++i)
     {
         report.by_class.push_back(
             {std::string(to_string(static_cast<length_class>(i))), {}});
     }
-    for (const auto* sample : in_order)
+    counts_by counts;
+    for (const auto* sample : in_order_of_time(samples))
     {
-        const auto now = counters_of(*sample);
-        auto& before = last[sample->vm];
-        const auto number =
-            static_cast<std::int64_t>(std::floor(sample->time_s / window_s));
-        auto& window = windows[number];
-        window.from_s = static_cast<double>(number) * window_s;
-        for (const auto& [key, n] : now)
-        {
-            const auto& [which, customer, grade] = key;
-            const auto old = before[key];
-            const auto added = n >= old ? n - old : n;
-            window.classes[which].counts[grade] += added;
-            report.by_class[which].counts[grade] += added;
-            auto& line = customers[customer];
-            line.name = customer.empty() ? "(no customer)" : customer;
-            line.counts[grade] += added;
-        }
-        before = now;
+        count_sample(*sample, report, counts);
     }
-    for (const auto& [number, it] : windows)
-    {
-        if (it.all().total() > 0)
-        {
-            report.windows.push_back(it);
-            if (it.all().total() > report.crest.total())
-            {
-                report.crest = it.all();
-            }
-        }
-    }
-    report.crest.name = "busiest window";
-    report.short_beside_long.name = "short beside most long";
-    report.short_alone.name = "short beside fewest long";
+    take_windows(report, counts);
     compare_short(report);
-    for (const auto& [name, it] : customers)
-    {
-        report.by_customer.push_back(it);
-    }
-    std::stable_sort(report.by_customer.begin(), report.by_customer.end(),
-                     [&](const auto& a, const auto& b) {
-                         return a.burn(objectives) > b.burn(objectives);
-                     });
+    take_customers(report, counts);
     return report;
 }
 
--- a/tests/soak/deployment.cpp
+++ b/tests/soak/deployment.cpp
@@ -65,7 +65,7 @@
         it.settings = work_ / fmt::format("gateway-{}.json", i);
         it.to_store = std::make_unique<proxy>(table.where());
         gateways.push_back(std::move(it));
-        write_settings(i, 0);
+        write_settings(i);
     }
 }
 
@@ -81,7 +81,7 @@
     }
 }
 
-void deployment::write_settings(std::size_t gateway, std::size_t version) const
+void deployment::write_settings(std::size_t gateway) const
 {
     const auto& it = gateways[gateway];
     const auto at = [&](int port) {
@@ -96,7 +96,7 @@
                         {"metrics", at(metrics_port)},
                         {"peers", at(peers_port)},
                         {"store", to_string(it.to_store->where())},
-                        {"limits", {{"max_connections", 500 + version}}}};
+                        {"limits", {{"max_connections", 500 + settings_changes_}}}};
     std::ofstream(it.settings) << settings.dump(2);
 }
 
@@ -126,13 +126,16 @@
 
 void deployment::signal(std::size_t gateway, int number) const
 {
-    if (number == SIGHUP)
-    {
-        write_settings(gateway, static_cast<std::size_t>(getpid()) % 100 + version_);
-    }
     kill(gateways[gateway].pid, number);
 }
 
+void deployment::change_settings(std::size_t gateway)
+{
+    ++settings_changes_;
+    write_settings(gateway);
+    signal(gateway, SIGHUP);
+}
+
 int deployment::wait_end(std::size_t gateway)
 {
     int status = 0;
--- a/tests/soak/deployment.hpp
+++ b/tests/soak/deployment.hpp
@@ -55,6 +55,8 @@
 
     void start(std::size_t gateway);
     void signal(std::size_t gateway, int number) const;
+    /// Writes other settings and says so with SIGHUP.
+    void change_settings(std::size_t gateway);
     /// Waits for the end of a gateway; returns its exit code, or -1 if a signal ended it.
     int wait_end(std::size_t gateway);
     /// Returns whether a gateway ended by itself.
@@ -76,13 +78,14 @@
     std::vector<gateway_process> gateways;
 
 private:
-    void write_settings(std::size_t gateway, std::size_t version) const;
+    void write_settings(std::size_t gateway) const;
 
     std::filesystem::path product_;
     std::filesystem::path work_;
     deployment_size size_;
-    std::string network_; ///< First three numbers of the gateways' addresses.
-    std::uint64_t version_ = 0;
+    std::string network_;       ///< First three numbers of the gateways' addresses.
+    std::uint64_t version_ = 0; ///< Of the configuration.
+    std::size_t settings_changes_ = 0;
 };
 
 } // namespace pistachiopost::soak
--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -127,7 +127,7 @@
     begin(
         fmt::format("settings of gateway {}", i), milliseconds{0}, [] {}, i);
     done_.back().planned = true;
-    target_.signal(i, SIGHUP);
+    target_.change_settings(i);
 }
 
 void fault_maker::disturb_store()
