--- a/tests/fuzz/targets.cpp
+++ b/tests/fuzz/targets.cpp
@@ -144,8 +144,9 @@
     try
     {
         const auto table = platform::decode_configuration(bytes);
-        table.find_route("a.test", "/stream/x");
-        table.find_customer("key-a");
+        // Whatever they find, the sanitizers watch.
+        static_cast<void>(table.find_route("a.test", "/stream/x"));
+        static_cast<void>(table.find_customer("key-a"));
     }
     catch (const codec_error& it)
     {
