Answers without end are bounded in time and bytes

Cause: wait_readable() prefers the backend server, and the deadlines and the caller were looked at only when nothing was readable, so a backend server that always has bytes was never timed out and its caller's close not seen; bodies, events, chunk headers and trailers grew without bound.

Change: deadlines and the caller are checked whatever is readable; an answer, an event and all held answers together are bounded (max_answer_bytes, max_event_bytes, a quarter of memory_mb); what the parser leaves unconsumed is bounded; the receive buffer is compacted; comments and empty events do not extend the time for the next event. A gateway without a configuration tells callers to come back after as long as it has been waiting, 0.5 to 3 s, instead of after 0.5 s whatever the outage.

--- a/source/connection/event_splitter.cpp
+++ b/source/connection/event_splitter.cpp
@@ -30,6 +30,12 @@
 
 } // namespace
 
+bool event_splitter::carries_data(std::string_view events)
+{
+    constexpr std::string_view field = "data";
+    return events.starts_with(field) || events.find("\ndata") != std::string_view::npos;
+}
+
 std::string event_splitter::take_complete_events()
 {
     const auto end = buffer_.rfind(blank_line);
--- a/source/connection/event_splitter.hpp
+++ b/source/connection/event_splitter.hpp
@@ -21,9 +21,13 @@
     [[nodiscard]] const std::optional<std::string>& last_id() const { return last_id_; }
     /// Returns whether an incomplete event is buffered.
     [[nodiscard]] bool has_partial() const { return !buffer_.empty(); }
+    [[nodiscard]] std::size_t partial_bytes() const { return buffer_.size(); }
     /// Discards the incomplete event.
     void discard_partial() { buffer_.clear(); }
 
+    /// Returns whether any of `events` carries data. Comments and empty events do not.
+    static bool carries_data(std::string_view events);
+
 private:
     std::string buffer_;
     std::optional<std::string> last_id_;
--- a/source/connection/forward_attempt.hpp
+++ b/source/connection/forward_attempt.hpp
@@ -7,6 +7,7 @@
 #include "connection/http_reader.hpp"
 #include "connection/memory_lease.hpp"
 #include "process/backend_record.hpp"
+#include "process/byte_budget.hpp"
 #include "request/forward_options.hpp"
 #include "request/forwarded_request.hpp"
 #include "version/route_table.hpp"
@@ -38,6 +39,7 @@
     std::string blamed;      ///< Address of the failed backend, if not the one called.
     int status = 0;          ///< Status of the answer, 0 if no head was received.
     bool silent = false;     ///< The backend server stopped sending.
+    bool oversized = false;  ///< The answer exceeded a limit on its bytes.
     bool broken_off = false; ///< The backend server closed or reset the connection.
     std::optional<time_point> first_event;
     milliseconds longest_pause{0}; ///< Longest gap between events.
@@ -64,14 +66,24 @@
     milliseconds event_gap;   ///< Between events.
 };
 
+/// Limits on the bytes of an answer that are held in memory.
+struct answer_limits
+{
+    std::uint64_t body_bytes;  ///< A complete answer to a plain call.
+    std::uint64_t event_bytes; ///< One event of a stream.
+    byte_budget& all_answers;  ///< Held by all requests together.
+};
+
 /// Runs one attempt on the calling task. `Codec` encodes and decodes message heads.
 template <typename Codec>
 class forward_attempt
 {
 public:
     forward_attempt(exchange& it, const attempt_timeouts& timeouts,
-                    memory_lease<Codec>& memory, std::function<void()> on_first_event)
-        : exchange_(it), timeouts_(timeouts), memory_(memory),
+                    const answer_limits& limits, memory_lease<Codec>& memory,
+                    std::function<void()> on_first_event)
+        : exchange_(it), timeouts_(timeouts), limits_(limits),
+          held_bytes_(limits.all_answers), memory_(memory),
           on_first_event_(std::move(on_first_event))
     {
     }
@@ -116,6 +128,9 @@
     }
 
 private:
+    // Interval of looking at the caller's connection while an answer arrives.
+    static constexpr milliseconds caller_check_interval{50};
+
     /// Thrown when writing to the caller's connection fails.
     class caller_disconnected : public connection_error
     {
@@ -138,10 +153,30 @@
         auto renew_at = memory_.empty()
                             ? time_point::max()
                             : steady::now() + memory_lease<Codec>::renewal_interval;
+        auto caller_checked_at = steady::now();
         for (;;)
         {
             const auto until = std::min({event_deadline, exchange_.until, renew_at});
             const auto woken = wait_readable(stream.fd(), caller, until);
+            // A backend server that always has bytes ready ends neither the deadlines nor
+            // the attention to the caller.
+            if (woken == wake_cause::first)
+            {
+                const auto now = steady::now();
+                if (now >= std::min(event_deadline, exchange_.until))
+                {
+                    return on_timeout();
+                }
+                if (now - caller_checked_at >= caller_check_interval)
+                {
+                    caller_checked_at = now;
+                    if (peer_closed(exchange_.caller.fd()))
+                    {
+                        return finish(attempt_end::caller_gone,
+                                      "the caller closed the connection");
+                    }
+                }
+            }
             if (const auto now = steady::now(); now >= renew_at)
             {
                 memory_.renew();
@@ -182,6 +217,12 @@
             {
                 event_deadline = steady::now() + timeouts_.event_gap;
             }
+            if (exceeds_limits())
+            {
+                result_.oversized = true;
+                return finish(attempt_end::unknown,
+                              "the answer exceeds the limit on bytes held in memory");
+            }
             if (answer.done() || (!open && answer.end_of_stream()))
             {
                 return complete(answer);
@@ -232,7 +273,8 @@
                exchange_.matched_route.kind == call_kind::stream;
     }
 
-    /// Buffers or forwards received body bytes; returns whether events were forwarded.
+    /// Buffers or forwards received body bytes; returns whether events with data were
+    /// forwarded. Others do not extend the time for the next one.
     bool forward_body(response_reader& answer)
     {
         if (!is_stream())
@@ -246,14 +288,27 @@
         {
             return false;
         }
-        record_event(steady::now());
+        const bool has_data = event_splitter::carries_data(events);
+        if (has_data)
+        {
+            record_event(steady::now());
+        }
         if (!exchange_.response.begun())
         {
             exchange_.stream_head = answer.head();
         }
         write_to_caller(
             [&] { exchange_.response.send_events(exchange_.stream_head, events); });
-        return true;
+        return has_data;
+    }
+
+    /// Returns whether the answer must not grow further.
+    bool exceeds_limits()
+    {
+        const auto body = result_.body.size();
+        const auto event = exchange_.events.partial_bytes();
+        return body > limits_.body_bytes || event > limits_.event_bytes ||
+               !held_bytes_.resize(body + event);
     }
 
     void record_event(time_point now)
@@ -308,6 +363,8 @@
 
     exchange& exchange_;
     attempt_timeouts timeouts_;
+    answer_limits limits_;
+    budgeted_bytes held_bytes_;
     memory_lease<Codec>& memory_;
     std::function<void()> on_first_event_;
     time_point last_event_;
--- a/source/connection/http_reader.cpp
+++ b/source/connection/http_reader.cpp
@@ -163,9 +163,15 @@
         }
         if (ec == http::error::need_more || n == 0)
         {
-            return;
+            break;
         }
     }
+    // A chunk header or trailer without end is not consumed before it is complete.
+    if (!done() && stream.buffered().size() > max_response_head_bytes)
+    {
+        throw protocol_error(
+            "response has a head, chunk header or trailer over the limit");
+    }
 }
 
 bool response_reader::end_of_stream()
--- a/source/connection/tcp_stream.cpp
+++ b/source/connection/tcp_stream.cpp
@@ -75,6 +75,8 @@
     const auto n = ::recv(sock_.get(), buf.data(), buf.size(), MSG_DONTWAIT);
     if (n > 0)
     {
+        buffer_.erase(0, begin_);
+        begin_ = 0;
         buffer_.append(buf.data(), static_cast<std::size_t>(n));
         return true;
     }
--- a/source/process/forward_service.cpp
+++ b/source/process/forward_service.cpp
@@ -2,6 +2,8 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
+
 namespace pistachiopost {
 
 namespace {
@@ -21,6 +23,11 @@
 constexpr double max_wait_share = 0.7;
 // Factor by which the time to the first event may exceed its estimate.
 constexpr double estimate_error_factor = 2;
+// A starting gateway has loaded its configuration within about the minimum. After that
+// the store is down, and the longer it was, the longer it is likely to stay so. Callers
+// wait for a third of their time at most, and those of calls have four seconds.
+constexpr milliseconds min_startup_retry_after{500};
+constexpr milliseconds max_startup_retry_after{3'000};
 
 } // namespace
 
@@ -48,6 +55,12 @@
     return matched_route.services.back().service;
 }
 
+milliseconds startup_retry_after(steady::duration elapsed)
+{
+    return std::clamp(ceil_milliseconds(elapsed), min_startup_retry_after,
+                      max_startup_retry_after);
+}
+
 std::optional<service_grade> grade_request(const forward_context& run, bool answered,
                                            time_point now)
 {
--- a/source/process/forward_service.hpp
+++ b/source/process/forward_service.hpp
@@ -34,6 +34,10 @@
 attempt_timeouts attempt_timeouts_for(const route& matched_route, const placement& place,
                                       milliseconds delay);
 
+/// Returns after which time a caller should retry that was refused for want of a
+/// configuration, `elapsed` after the start of the process.
+milliseconds startup_retry_after(steady::duration elapsed);
+
 /// Returns the grade of a completed request, or nothing if the caller disconnected before
 /// the latency target had passed.
 std::optional<service_grade> grade_request(const forward_context& run, bool answered,
@@ -58,7 +62,8 @@
         if (!table || !state_.backends_loaded)
         {
             return refuse(response, request, 503, "no configuration yet; not run",
-                          "no_configuration", startup_retry_after);
+                          "no_configuration",
+                          startup_retry_after(arrived - state_.started_at));
         }
         const auto* matched_route = table->find_route(request.host, request.path);
         if (matched_route == nullptr)
@@ -98,8 +103,6 @@
     // For requests without a deadline: the longest deadline that the platform's callers
     // send.
     static constexpr milliseconds default_timeout{15'000};
-    // A starting gateway has loaded its configuration within about this time.
-    static constexpr milliseconds startup_retry_after{500};
     // Engines distinguish ten ranks of urgency, 0 to 9.
     static constexpr std::uint32_t max_urgency_rank = 9;
     // Minimum time after which retrying a refused request is useful.
@@ -276,7 +279,9 @@
         const auto timeouts = attempt_timeouts_for(
             run.call.matched_route, place, state_.response_delays.allowed_delay(service));
         const auto began = steady::now();
-        forward_attempt<Codec> attempt(run.call, timeouts, memory,
+        const answer_limits limits{state_.settings.max_answer_bytes,
+                                   state_.settings.max_event_bytes, state_.answer_bytes};
+        forward_attempt<Codec> attempt(run.call, timeouts, limits, memory,
                                        [&held] { held.prefill_done(); });
         auto result = attempt.run(place.main.backend, terms);
         if (result.first_event || (result.silent && result.status == 0))
@@ -322,6 +327,10 @@
         }
         log_attempt_failed(run, place, result);
         state_.metrics.increment("failed_attempts");
+        if (result.oversized)
+        {
+            state_.metrics.increment("oversized_answers");
+        }
         record_backend_failure(run, place, result, now);
         return true;
     }
--- a/source/process/gateway_state.hpp
+++ b/source/process/gateway_state.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "connection/unique_fd.hpp"
+#include "process/byte_budget.hpp"
 #include "process/crash_tracker.hpp"
 #include "process/dispatcher.hpp"
 #include "process/gateway_metrics.hpp"
@@ -21,8 +22,8 @@
 {
     explicit gateway_state(const gateway_settings& it)
         : settings(it), dispatch(it.self.zone), budgets(it.repeats),
-          stop_fd(open_event_fd()), max_connections(it.max_connections),
-          stop_grace(it.stop_grace)
+          answer_bytes(it.memory_bytes / answer_memory_divisor), stop_fd(open_event_fd()),
+          max_connections(it.max_connections), stop_grace(it.stop_grace)
     {
     }
 
@@ -35,6 +36,9 @@
         set_min_log_level(it.self.min_log_level);
     }
 
+    // Answers that are held back take at most this part of the memory of the VM.
+    static constexpr std::uint64_t answer_memory_divisor = 4;
+
     const gateway_settings& settings; ///< As read at startup.
     version_holder<route_table> routes;
     dispatcher dispatch;
@@ -42,7 +46,9 @@
     response_delay_estimator response_delays;
     crash_tracker crashes;
     gateway_metrics metrics;
-    unique_fd stop_fd;                  ///< Readable once idle connections must close.
+    byte_budget answer_bytes; ///< Parts of answers held by all requests.
+    unique_fd stop_fd;        ///< Readable once idle connections must close.
+    const time_point started_at = steady::now();
     std::atomic<bool> stopping = false; ///< A stop signal was received.
     std::atomic<bool> backends_loaded = false;
     std::atomic<std::size_t> connections = 0;
--- a/source/process/settings.hpp
+++ b/source/process/settings.hpp
@@ -80,11 +80,15 @@
 struct gateway_settings
 {
     identity self;
-    endpoint listen;                       ///< For callers.
-    endpoint readiness;                    ///< For readiness checks of the load balancer.
-    endpoint metrics;                      ///< For metrics collectors.
-    endpoint peers;                        ///< For UDP messages from other gateways.
-    endpoint store;                        ///< Store of the platform.
+    endpoint listen;    ///< For callers.
+    endpoint readiness; ///< For readiness checks of the load balancer.
+    endpoint metrics;   ///< For metrics collectors.
+    endpoint peers;     ///< For other gateways, by UDP and TCP.
+    endpoint store;     ///< Store of the platform.
+    double cores = 1;   ///< Processor share of the VM.
+    std::uint64_t memory_bytes = 256U << 20U;   ///< Of the VM.
+    std::uint64_t max_answer_bytes = 8U << 20U; ///< Of a plain call's answer.
+    std::uint64_t max_event_bytes = 1U << 20U;  ///< Of one event of a stream.
     std::uint32_t max_connections = 1'300; ///< A third of the descriptors of an entry VM.
     repeat_limits repeats;
     milliseconds stop_grace{8'000}; ///< From the stop signal to SIGKILL by the platform.
--- a/source/process/settings_document.cpp
+++ b/source/process/settings_document.cpp
@@ -175,6 +175,16 @@
     it.repeats.slack = in.number("repeat_slack", {0, 1e6}, it.repeats.slack);
     it.repeats.window = read_milliseconds(in, "repeat_window_ms", it.repeats.window);
     it.stop_grace = read_milliseconds(in, "stop_grace_ms", it.stop_grace);
+    it.cores = in.number("cores", {0, 1'024}, it.cores);
+    const auto memory_mb = in.integer("memory_mb", {16, 1'048'576},
+                                      static_cast<std::int64_t>(it.memory_bytes >> 20U));
+    it.memory_bytes = static_cast<std::uint64_t>(memory_mb) << 20U;
+    it.max_answer_bytes = static_cast<std::uint64_t>(
+        in.integer("max_answer_bytes", {1'024, 1 << 30},
+                   static_cast<std::int64_t>(it.max_answer_bytes)));
+    it.max_event_bytes = static_cast<std::uint64_t>(
+        in.integer("max_event_bytes", {1'024, 1 << 30},
+                   static_cast<std::int64_t>(it.max_event_bytes)));
     in.report_unknown_fields();
     return it;
 }
--- a/tests/process/gateway_limits_test.cpp
+++ b/tests/process/gateway_limits_test.cpp
@@ -219,6 +219,13 @@
     cr_assert(to_b > 60 && to_b < 140, "%d of 1000 for a weight of 10 in 100", to_b);
 }
 
+Test(startup_retry_after, grows_with_the_time_without_a_configuration)
+{
+    cr_assert_eq(startup_retry_after(milliseconds{20}), milliseconds{500});
+    cr_assert_eq(startup_retry_after(seconds{2}), seconds{2});
+    cr_assert_eq(startup_retry_after(seconds{60}), seconds{3});
+}
+
 Test(peer_follower, peers_are_all_gateways_except_this_one)
 {
     std::vector<endpoint> peers;
