--- a/source/connection/load_report_codec.cpp
+++ b/source/connection/load_report_codec.cpp
@@ -34,6 +34,11 @@
     return crashes;
 }
 
+json encode_status(const store_status& status)
+{
+    return json::array({status.watches, status.store_failed, status.changes});
+}
+
 /// Reads an unsigned count. A negative value would be taken for work that never ends.
 std::uint64_t read_count(const json& from)
 {
@@ -54,6 +59,18 @@
     return static_cast<std::uint32_t>(it);
 }
 
+store_status read_status(const json& from)
+{
+    store_status it;
+    it.watches = from.at(0);
+    it.store_failed = from.at(1);
+    for (std::size_t i = 0; i < watched_table_count; ++i)
+    {
+        it.changes[i] = read_count(from.at(2).at(i));
+    }
+    return it;
+}
+
 backend_load read_load(const json& from)
 {
     return {read_count32(from.at(1)), read_count32(from.at(2)), read_count(from.at(3)),
@@ -65,8 +82,10 @@
 
 std::string encode_load_report(const load_report_message& message)
 {
-    const auto body = json::array({message.gateway, message.boot, message.sequence,
-                                   encode_loads(message), encode_crashes(message)});
+    const auto body =
+        json::array({message.gateway, message.boot, message.sequence,
+                     encode_loads(message), encode_crashes(message), message.zone,
+                     message.cores, message.is_digest, encode_status(message.store)});
     const auto bytes = json::to_msgpack(body);
     return {bytes.begin(), bytes.end()};
 }
@@ -88,6 +107,10 @@
         {
             it.crashes.push_back({read_count(crash.at(0)), crash.at(1)});
         }
+        it.zone = body.at(5);
+        it.cores = body.at(6);
+        it.is_digest = body.at(7);
+        it.store = read_status(body.at(8));
         return it;
     }
     catch (const json::exception& ex)
--- a/source/connection/peer_link.cpp
+++ b/source/connection/peer_link.cpp
@@ -5,6 +5,7 @@
 #include "connection/tcp_stream.hpp"
 #include "process/logging.hpp"
 
+#include <arpa/inet.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 
@@ -12,6 +13,7 @@
 #include <cerrno>
 #include <cstring>
 #include <random>
+#include <utility>
 
 namespace pistachiopost {
 
@@ -24,16 +26,29 @@
 // Interval while the load is unchanged: half of the time for which peers consider a
 // report valid.
 constexpr milliseconds heartbeat_interval{500};
+// Interval between digests: a fraction of the time that a request waits before it leaves
+// its cell and of the duration of its answer.
+constexpr milliseconds digest_interval{250};
+// Interval between reports to all gateways, also silent ones and those of other cells.
+constexpr milliseconds report_to_all_interval{5'000};
 constexpr std::size_t max_datagram_bytes = 32'768; // enough for 600 backends
 
+endpoint to_endpoint(const sockaddr_in& addr)
+{
+    std::array<char, INET_ADDRSTRLEN> text{};
+    ::inet_ntop(AF_INET, &addr.sin_addr, text.data(), text.size());
+    return {text.data(), ntohs(addr.sin_port)};
+}
+
 } // namespace
 
-peer_link::peer_link(std::string name, const endpoint& local, dispatcher& dispatch,
+peer_link::peer_link(gateway_directory& directory, dispatcher& dispatch,
                      crash_tracker& crashes)
-    : name_(std::move(name)), boot_(std::random_device()()),
+    : directory_(directory), boot_(std::random_device()()),
       sock_(::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)),
       dispatcher_(dispatch), crashes_(crashes)
 {
+    const auto& local = directory.self().address;
     const auto addr = to_sockaddr(local);
     if (!sock_ ||
         ::bind(sock_.get(), reinterpret_cast<const sockaddr*>(&addr), sizeof addr) != 0)
@@ -43,46 +58,93 @@
     }
 }
 
-void peer_link::set_peers(const std::vector<endpoint>& peers)
-{
-    const std::lock_guard lock(mutex_);
-    peers_ = peers;
-}
-
 void peer_link::run_sender(stop_flag& stop)
 {
-    std::uint64_t count = 0;
-    auto sent_at = steady::now() - heartbeat_interval;
-    load_report_message last;
     while (!stop.wait_for(min_interval))
     {
         dispatcher_.wait_until_report_due(change_interval);
         const auto now = steady::now();
-        auto message = dispatcher_.report(now);
-        message.crashes = crashes_.recent(now);
-        const bool changed =
-            message.loads != last.loads || message.crashes != last.crashes;
-        if (!changed && now - sent_at < heartbeat_interval)
+        dispatcher_.set_cells(directory_.has_cells());
+        send_report(now);
+        send_digest(now);
+    }
+}
+
+void peer_link::send_report(time_point now)
+{
+    sent_report next{dispatcher_.load_generation(), directory_.own_status(now),
+                     crashes_.recent(now), dispatcher_.zones_in_use(now), now};
+    const bool to_all =
+        directory_.is_complete() &&
+        (!sent_to_all_at_ || now - *sent_to_all_at_ >= report_to_all_interval);
+    const bool changed = !last_ || next.load_generation != last_->load_generation ||
+                         next.store != last_->store || next.crashes != last_->crashes;
+    const bool due = changed || now - last_->sent_at >= heartbeat_interval;
+    const auto newcomers = take_newcomers();
+    if (!to_all && !due && newcomers.empty())
+    {
+        return;
+    }
+    auto message = dispatcher_.report(now);
+    message.store = next.store;
+    message.crashes = next.crashes;
+    if (to_all)
+    {
+        sent_to_all_at_ = now;
+        send(std::move(message), directory_.all_others());
+    }
+    else if (due)
+    {
+        // Zones that are no longer used must learn that, too.
+        auto zones = next.zones;
+        if (last_)
         {
-            continue;
+            zones.insert(last_->zones.begin(), last_->zones.end());
         }
-        sent_at = now;
-        message.gateway = name_;
-        message.boot = boot_;
-        message.sequence = ++count;
-        send_report(encode_load_report(message));
-        last = std::move(message);
+        send(std::move(message), directory_.report_receivers(zones, now));
     }
+    else
+    {
+        send(std::move(message), newcomers);
+        return;
+    }
+    last_ = std::move(next);
+}
+
+std::vector<endpoint> peer_link::take_newcomers()
+{
+    const std::lock_guard lock(mutex_);
+    return std::exchange(newcomers_, {});
 }
 
-void peer_link::send_report(const std::string& bytes)
+void peer_link::send_digest(time_point now)
 {
-    std::vector<endpoint> peers;
+    if (now - digest_sent_at_ < digest_interval)
     {
-        const std::lock_guard lock(mutex_);
-        peers = peers_;
+        return;
     }
-    for (const auto& it : peers)
+    const auto receivers = directory_.digest_receivers(now);
+    if (receivers.empty())
+    {
+        return;
+    }
+    digest_sent_at_ = now;
+    auto message = dispatcher_.digest(now);
+    message.store = directory_.own_status(now);
+    message.crashes = crashes_.recent(now);
+    send(std::move(message), receivers);
+}
+
+void peer_link::send(load_report_message message, std::span<const endpoint> receivers)
+{
+    const auto& self = directory_.self();
+    message.gateway = self.name;
+    message.zone = self.zone;
+    message.cores = self.cores;
+    message.boot = boot_;
+    message.sequence = ++sequence_;
+    const auto bytes = encode_load_report(message);
+    for (const auto& it : receivers)
     {
         const auto addr = to_sockaddr(it);
         // A send error loses only this datagram: the next one carries the complete state.
@@ -98,16 +160,18 @@
     while (wait_readable(sock_.get(), stop_fd, steady::now() + max_wait) !=
            wake_cause::second)
     {
-        const auto n = ::recv(sock_.get(), buf.data(), buf.size(), MSG_DONTWAIT);
+        sockaddr_in addr{};
+        socklen_t addr_bytes = sizeof addr;
+        const auto n = ::recvfrom(sock_.get(), buf.data(), buf.size(), MSG_DONTWAIT,
+                                  reinterpret_cast<sockaddr*>(&addr), &addr_bytes);
         if (n <= 0)
         {
             continue;
         }
         try
         {
-            dispatcher_.apply_report(decode_load_report(std::string_view(buf).substr(
-                                         0, static_cast<std::size_t>(n))),
-                                     steady::now());
+            receive(std::string_view(buf).substr(0, static_cast<std::size_t>(n)),
+                    to_endpoint(addr), steady::now());
         }
         catch (const codec_error& it)
         {
@@ -117,4 +181,18 @@
     }
 }
 
+void peer_link::receive(std::string_view bytes, const endpoint& sender, time_point now)
+{
+    const auto message = decode_load_report(bytes);
+    const gateway_record record{message.gateway, sender, message.zone, message.cores};
+    if (directory_.record_message(record, message.store, now) &&
+        directory_.shares_cell(message.zone))
+    {
+        const std::lock_guard lock(mutex_);
+        newcomers_.push_back(sender);
+        dispatcher_.request_report();
+    }
+    dispatcher_.apply_report(message, now);
+}
+
 } // namespace pistachiopost
--- a/source/connection/peer_link.hpp
+++ b/source/connection/peer_link.hpp
@@ -1,13 +1,17 @@
 /// \file
-/// UDP exchange between gateways of the load that each has in flight and of the requests
-/// that crashed backend servers.
+/// UDP exchange between gateways of the load that each has in flight, of digests between
+/// cells, and of the requests that crashed backend servers.
 #pragma once
 
 #include "connection/unique_fd.hpp"
 #include "process/dispatcher.hpp"
+#include "process/gateway_directory.hpp"
 #include "process/stop_flag.hpp"
 
 #include <mutex>
+#include <optional>
+#include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -18,28 +22,42 @@
 class peer_link
 {
 public:
-    /// Binds the UDP socket to `local`. Throws connection_error.
-    peer_link(std::string name, const endpoint& local, dispatcher& dispatch,
-              crash_tracker& crashes);
+    /// Binds the UDP socket to the address of this gateway. Throws connection_error.
+    peer_link(gateway_directory& directory, dispatcher& dispatch, crash_tracker& crashes);
 
-    /// Replaces the list of peers to send to. Thread-safe.
-    void set_peers(const std::vector<endpoint>& peers);
     /// Sends reports until `stop` is set. Runs on one task.
     void run_sender(stop_flag& stop);
     /// Receives reports until `stop_fd` is readable. Runs on one task.
     void run_receiver(int stop_fd);
 
 private:
-    void take(std::string_view bytes);
-    void send_report(const std::string& bytes);
-
-    std::string name_;
+    /// What the last report contained.
+    struct sent_report
+    {
+        std::uint64_t load_generation = 0;
+        store_status store;
+        std::vector<crash_report> crashes;
+        std::set<std::string, std::less<>> zones;
+        time_point sent_at;
+    };
+
+    void send_report(time_point now);
+    std::vector<endpoint> take_newcomers();
+    void send_digest(time_point now);
+    void send(load_report_message message, std::span<const endpoint> receivers);
+    void receive(std::string_view bytes, const endpoint& sender, time_point now);
+
+    gateway_directory& directory_;
     std::uint64_t boot_;
     unique_fd sock_;
     dispatcher& dispatcher_;
     crash_tracker& crashes_;
+    std::uint64_t sequence_ = 0;
+    std::optional<sent_report> last_;
+    time_point digest_sent_at_;
+    std::optional<time_point> sent_to_all_at_;
     std::mutex mutex_;
-    std::vector<endpoint> peers_;
+    std::vector<endpoint> newcomers_; ///< Of this cell; they wait for a first report.
 };
 
 } // namespace pistachiopost
--- /dev/null
+++ b/source/connection/relay_codec.cpp
@@ -0,0 +1,91 @@
+#include "connection/relay_codec.hpp"
+
+#include "connection/codec_error.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace pistachiopost {
+
+namespace {
+
+using nlohmann::json;
+
+template <typename Decode>
+auto turn_errors(const Decode& decode)
+{
+    try
+    {
+        return decode();
+    }
+    catch (const json::exception& ex)
+    {
+        throw codec_error(std::string("malformed message of a relay: ") + ex.what());
+    }
+}
+
+std::uint64_t read_unsigned(const json& from)
+{
+    if (!from.is_number_unsigned())
+    {
+        throw codec_error("malformed message of a relay: not an unsigned integer");
+    }
+    return from;
+}
+
+milliseconds read_duration(const json& from)
+{
+    constexpr std::uint64_t max_duration_ms = 60'000;
+    return milliseconds{std::min(read_unsigned(from), max_duration_ms)};
+}
+
+} // namespace
+
+std::string encode_relay_request(const relay_request& it)
+{
+    return json{{"table", it.table}, {"since", it.since}, {"wait_ms", it.wait.count()}}
+        .dump();
+}
+
+relay_request decode_relay_request(std::string_view bytes)
+{
+    return turn_errors([&] {
+        const auto body = json::parse(bytes);
+        return relay_request{body.at("table"), read_unsigned(body.at("since")),
+                             read_duration(body.at("wait_ms"))};
+    });
+}
+
+std::string encode_row_batch(const row_batch& batch)
+{
+    auto rows = json::array();
+    for (const auto& it : batch.rows)
+    {
+        rows.push_back({it.key, it.value, it.version, it.removed});
+    }
+    auto recovered = batch.recovered_ago ? json(batch.recovered_ago->count()) : json();
+    const auto bytes = json::to_msgpack(
+        json::array({batch.version, std::move(rows), std::move(recovered)}));
+    return {bytes.begin(), bytes.end()};
+}
+
+row_batch decode_row_batch(std::string_view bytes)
+{
+    return turn_errors([&] {
+        const auto body = json::from_msgpack(bytes);
+        row_batch batch;
+        batch.version = read_unsigned(body.at(0));
+        for (const auto& it : body.at(1))
+        {
+            batch.rows.push_back({it.at(0), it.at(1), read_unsigned(it.at(2)), it.at(3)});
+        }
+        if (!body.at(2).is_null())
+        {
+            batch.recovered_ago = read_duration(body.at(2));
+        }
+        return batch;
+    });
+}
+
+} // namespace pistachiopost
--- a/source/connection/status_server.cpp
+++ b/source/connection/status_server.cpp
@@ -19,8 +19,7 @@
 // Allows collectors that poll every 5 s to reuse their connection.
 constexpr milliseconds collector_idle_timeout{10'000};
 
-void serve_status_connection(unique_fd sock, int stop_fd,
-                             const std::function<status_response()>& respond)
+void serve_status_connection(unique_fd sock, int stop_fd, const request_handler& respond)
 {
     tcp_stream stream(std::move(sock));
     caller_limits limits;
@@ -31,7 +30,7 @@
         while (read_request(stream, limits, stop_fd, request) ==
                request_outcome::complete)
         {
-            const auto it = respond();
+            const auto it = respond(request);
             stream.send(fmt::format("HTTP/1.1 {} {}\r\nContent-Type: {}\r\n"
                                     "Content-Length: {}\r\n\r\n{}",
                                     it.status, it.status == 200 ? "OK" : "Unavailable",
@@ -77,8 +76,7 @@
     }
 }
 
-void serve_status(const unique_fd& listener, int stop_fd,
-                  const std::function<status_response()>& respond)
+void serve_status(const unique_fd& listener, int stop_fd, const request_handler& respond)
 {
     accept_until(listener, stop_fd, [&](unique_fd sock) {
         auto shared = std::make_shared<unique_fd>(std::move(sock));
--- a/source/connection/status_server.hpp
+++ b/source/connection/status_server.hpp
@@ -1,7 +1,8 @@
 /// \file
-/// HTTP server for health checks of load balancers and for metrics collectors.
+/// HTTP server for health checks of load balancers, for metrics collectors and for peers.
 #pragma once
 
+#include "connection/http_reader.hpp"
 #include "connection/unique_fd.hpp"
 
 #include <functional>
@@ -22,9 +23,11 @@
 void accept_until(const unique_fd& listener, int stop_fd,
                   const std::function<void(unique_fd)>& serve);
 
-/// Responds to every request on `listener` with the result of `respond`, regardless of
-/// the path, until `stop_fd` is readable. Each connection runs on its own task.
-void serve_status(const unique_fd& listener, int stop_fd,
-                  const std::function<status_response()>& respond);
+/// Returns the response to a request.
+using request_handler = std::function<status_response(const received_request& request)>;
+
+/// Responds to every request on `listener` with the result of `respond`, until `stop_fd`
+/// is readable. Each connection runs on its own task.
+void serve_status(const unique_fd& listener, int stop_fd, const request_handler& respond);
 
 } // namespace pistachiopost
--- a/source/process/backend_registry.cpp
+++ b/source/process/backend_registry.cpp
@@ -223,6 +223,25 @@
                                               : std::move(available));
 }
 
+const backend_record* backend_registry::find(std::string_view id) const
+{
+    const auto it = backends_.find(id);
+    return it == backends_.end() ? nullptr : &it->second.record;
+}
+
+std::vector<const backend_record*> backend_registry::in_zone(std::string_view zone) const
+{
+    std::vector<const backend_record*> list;
+    for (const auto& [id, it] : backends_)
+    {
+        if (it.record.zone == zone)
+        {
+            list.push_back(&it.record);
+        }
+    }
+    return list;
+}
+
 const backend_record* backend_registry::find_by_address(std::string_view address) const
 {
     for (const auto& [id, it] : backends_)
--- a/source/process/backend_registry.hpp
+++ b/source/process/backend_registry.hpp
@@ -59,6 +59,10 @@
                                                          time_point now) const;
     /// Returns the backend server at `address`, or null if there is none.
     [[nodiscard]] const backend_record* find_by_address(std::string_view address) const;
+    /// Returns the backend server `id`, or null if there is none.
+    [[nodiscard]] const backend_record* find(std::string_view id) const;
+    /// Returns the backend servers of all services in an availability zone.
+    [[nodiscard]] std::vector<const backend_record*> in_zone(std::string_view zone) const;
     [[nodiscard]] std::size_t size() const { return backends_.size(); }
 
 private:
--- a/source/process/dispatcher.cpp
+++ b/source/process/dispatcher.cpp
@@ -1,5 +1,7 @@
 #include "process/dispatcher.hpp"
 
+#include "process/cell_placement.hpp"
+
 #include <algorithm>
 #include <limits>
 #include <tuple>
@@ -58,7 +60,8 @@
     {
         return std::nullopt;
     }
-    auto place = find_placement(request, now);
+    candidate_cache cache;
+    auto place = find_placement(request, steady::duration{0}, cache, now);
     if (place)
     {
         charge(customer, *place, now);
@@ -89,6 +92,7 @@
     {
         loads_.prefill_done(it.backend.id, it.work);
     }
+    ++load_generation_;
     serve_queue(now);
 }
 
@@ -100,6 +104,7 @@
     {
         loads_.remove(it.backend.id, it.work, now);
     }
+    ++load_generation_;
     serve_queue(now);
 }
 
@@ -115,6 +120,12 @@
     return queue_.size();
 }
 
+void dispatcher::set_cells(bool has_cells)
+{
+    const std::lock_guard lock(mutex_);
+    has_cells_ = has_cells;
+}
+
 void dispatcher::apply_report(const load_report_message& message, time_point now)
 {
     const std::lock_guard lock(mutex_);
@@ -129,6 +140,49 @@
     report_due_ = false;
 }
 
+void dispatcher::request_report()
+{
+    const std::lock_guard lock(mutex_);
+    report_due_ = true;
+    report_due_changed_.notify_one();
+}
+
+std::uint64_t dispatcher::load_generation() const
+{
+    const std::lock_guard lock(mutex_);
+    return load_generation_;
+}
+
+std::set<std::string, std::less<>> dispatcher::zones_in_use(time_point now) const
+{
+    const std::lock_guard lock(mutex_);
+    std::set<std::string, std::less<>> zones;
+    for (const auto& it : loads_.local_loads(now))
+    {
+        if (const auto* backend = registry_.find(it.backend))
+        {
+            zones.insert(backend->zone);
+        }
+    }
+    return zones;
+}
+
+load_report_message dispatcher::digest(time_point now) const
+{
+    const std::lock_guard lock(mutex_);
+    load_report_message message;
+    message.is_digest = true;
+    for (const auto* backend : registry_.in_zone(zone_))
+    {
+        const auto load = loads_.total_load(backend->id, now);
+        if (load != backend_load())
+        {
+            message.loads.push_back({backend->id, load});
+        }
+    }
+    return message;
+}
+
 load_report_message dispatcher::report(time_point now) const
 {
     const std::lock_guard lock(mutex_);
@@ -156,21 +210,41 @@
     return it;
 }
 
+const std::vector<placement_candidate>&
+dispatcher::candidates_for(std::string_view service, candidate_cache& cache,
+                           time_point now)
+{
+    const auto [entry, is_new] = cache.try_emplace(service);
+    if (is_new)
+    {
+        registry_.remove_expired(now);
+        for (const auto& it : registry_.eligible(service, now))
+        {
+            entry->second.push_back(
+                {it.backend, loads_.total_load(it.backend->id, now), it.healthy});
+        }
+    }
+    return entry->second;
+}
+
 std::optional<placement> dispatcher::find_placement(const placement_request& request,
+                                                    steady::duration waited,
+                                                    candidate_cache& cache,
                                                     time_point now)
 {
-    registry_.remove_expired(now);
-    std::vector<placement_candidate> candidates;
-    for (const auto& it : registry_.eligible(request.service, now))
+    const auto& candidates = candidates_for(request.service, cache, now);
+    if (!has_cells_)
     {
-        candidates.push_back(
-            {it.backend, loads_.total_load(it.backend->id, now), it.healthy});
+        return place(request, candidates, zone_);
     }
-    return place(request, candidates, zone_);
+    return place_in_cells(request, candidates, zone_, waited, [&](std::string_view zone) {
+        return loads_.has_digest(zone, now);
+    });
 }
 
 void dispatcher::charge(std::string_view customer, const placement& place, time_point now)
 {
+    ++load_generation_;
     loads_.add(place.main.backend.id, place.main.work, now);
     for (const auto& it : place.helpers)
     {
@@ -235,19 +309,21 @@
                           it->request_->prompt_tokens, it->arrived_);
     };
     queue_.sort([&](const auto* a, const auto* b) { return key(a) < key(b); });
+    candidate_cache cache;
     for (auto it = queue_.begin(); it != queue_.end();)
     {
         auto& queued = **it;
         auto request = *queued.request_;
         request.accept_fewer_engines =
             now - queued.arrived_ >= queued.target() * relax_after_targets;
-        queued.place_ = find_placement(request, now);
+        queued.place_ = find_placement(request, now - queued.arrived_, cache, now);
         if (!queued.place_)
         {
             ++it;
             continue;
         }
         charge(queued.customer_, *queued.place_, now);
+        cache.clear();
         signal_event_fd(queued.wake_);
         it = queue_.erase(it);
     }
--- a/source/process/dispatcher.hpp
+++ b/source/process/dispatcher.hpp
@@ -12,6 +12,7 @@
 #include <list>
 #include <map>
 #include <mutex>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -84,18 +85,36 @@
         change(registry_);
         serve_queue(now);
     }
+    /// Sets whether the fleet is divided into cells.
+    void set_cells(bool has_cells);
     /// Applies the load report of a peer.
     void apply_report(const load_report_message& message, time_point now);
     /// Blocks until a change should be reported to peers immediately, at most `longest`.
     void wait_until_report_due(milliseconds longest);
-    /// Returns the load report for peers; the sender fills in gateway, boot and sequence.
+    /// Makes the next wait_until_report_due() return immediately.
+    void request_report();
+    /// Returns the load of this gateway; the sender adds the other fields.
     [[nodiscard]] load_report_message report(time_point now) const;
+    /// Returns the load of all gateways on the backend servers of this zone.
+    [[nodiscard]] load_report_message digest(time_point now) const;
+    /// Returns a number that changes with each placement, first event and release.
+    /// Between changes peers derive the remaining prefill from the time that passes.
+    [[nodiscard]] std::uint64_t load_generation() const;
+    /// Returns the zones of the backend servers that this gateway puts load on.
+    [[nodiscard]] std::set<std::string, std::less<>> zones_in_use(time_point now) const;
     /// Returns the state of the queue and of the backend servers of `service`.
     [[nodiscard]] queue_snapshot snapshot(std::string_view service, time_point now) const;
 
 private:
+    /// Candidates by service. Valid until a load or the registry changes.
+    using candidate_cache =
+        std::map<std::string_view, std::vector<placement_candidate>, std::less<>>;
+
+    const std::vector<placement_candidate>&
+    candidates_for(std::string_view service, candidate_cache& cache, time_point now);
     std::optional<placement> find_placement(const placement_request& request,
-                                            time_point now);
+                                            steady::duration waited,
+                                            candidate_cache& cache, time_point now);
     void charge(std::string_view customer, const placement& place, time_point now);
     void serve_queue(time_point now);
     [[nodiscard]] double served_cost(std::string_view customer) const;
@@ -104,6 +123,8 @@
     mutable std::mutex mutex_;
     std::condition_variable report_due_changed_;
     bool report_due_ = false; ///< A change should be reported to peers immediately.
+    std::uint64_t load_generation_ = 0;
+    bool has_cells_ = false;
     std::string zone_;
     backend_registry registry_;
     load_tracker loads_;
--- /dev/null
+++ b/source/process/gateway_directory.cpp
@@ -0,0 +1,337 @@
+#include "process/gateway_directory.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <functional>
+#include <tuple>
+
+namespace pistachiopost {
+
+namespace {
+
+// A gateway that sent nothing for this long is not counted on: twice the interval of
+// heartbeats.
+constexpr milliseconds silence_timeout{1'000};
+// A gateway that was never heard or is silent for this long gets no more reports, only
+// the periodic messages to all.
+constexpr milliseconds removal_timeout{10'000};
+// Gateways of one zone that watch the store for the others: one may fail without a gap.
+constexpr std::size_t relays_per_zone = 2;
+// A relay that failed is not asked again for this long.
+constexpr milliseconds relay_failure_time{3'000};
+// After a failed call to the store others are preferred as relays for this long.
+constexpr milliseconds store_failure_time{5'000};
+// Time for the first announcements of relays after a start.
+constexpr milliseconds relay_startup_time{600};
+// A change announced by another gateway takes at most this long through a sound relay,
+// which gathers changes for 300 ms.
+constexpr milliseconds max_relay_delay{700};
+
+std::size_t to_index(watched_table table)
+{
+    return static_cast<std::size_t>(table);
+}
+
+bool is_current(const std::optional<time_point>& heard_at, time_point now)
+{
+    return heard_at && now - *heard_at < silence_timeout;
+}
+
+/// Order in which the gateways of a zone take on duties: large VMs first.
+auto duty_order(const gateway_record& it)
+{
+    return std::tuple(-it.cores, XXH3_64bits(it.name.data(), it.name.size()));
+}
+
+} // namespace
+
+void gateway_directory::add_published(std::span<const gateway_record> gateways,
+                                      time_point now)
+{
+    const std::lock_guard lock(mutex_);
+    published_at_ = now;
+    for (const auto& it : gateways)
+    {
+        if (it.name == self_.name)
+        {
+            continue;
+        }
+        auto& known =
+            members_.try_emplace(it.name, member{{}, {}, now, {}, {}}).first->second;
+        if (!known.heard_at)
+        {
+            known.record = it;
+        }
+    }
+}
+
+bool gateway_directory::record_message(const gateway_record& sender,
+                                       const store_status& status, time_point now)
+{
+    const std::lock_guard lock(mutex_);
+    if (sender.name == self_.name)
+    {
+        return false;
+    }
+    auto& it = members_[sender.name];
+    const bool appeared = !is_current(it.heard_at, now);
+    it.record = sender;
+    it.status = status;
+    it.heard_at = now;
+    if (status.watches)
+    {
+        for (std::size_t i = 0; i < watched_table_count; ++i)
+        {
+            note_change(static_cast<watched_table>(i), status.changes[i], now);
+        }
+    }
+    return appeared;
+}
+
+bool gateway_directory::has_cells() const
+{
+    const std::lock_guard lock(mutex_);
+    return has_cells_locked();
+}
+
+bool gateway_directory::has_cells_locked() const
+{
+    return members_.size() + 1 > max_full_mesh_gateways;
+}
+
+bool gateway_directory::is_complete() const
+{
+    const std::lock_guard lock(mutex_);
+    return published_at_.has_value();
+}
+
+bool gateway_directory::shares_cell(std::string_view zone) const
+{
+    const std::lock_guard lock(mutex_);
+    return in_cell(zone);
+}
+
+bool gateway_directory::in_cell(std::string_view zone) const
+{
+    return !has_cells_locked() || zone == self_.zone;
+}
+
+std::vector<endpoint>
+gateway_directory::report_receivers(const std::set<std::string, std::less<>>& zones,
+                                    time_point now) const
+{
+    const std::lock_guard lock(mutex_);
+    std::vector<endpoint> list;
+    for (const auto& [name, it] : members_)
+    {
+        const bool current = now - it.heard_at.value_or(it.added_at) < removal_timeout;
+        if (current && (in_cell(it.record.zone) || zones.contains(it.record.zone)))
+        {
+            list.push_back(it.record.address);
+        }
+    }
+    return list;
+}
+
+std::vector<endpoint> gateway_directory::all_others() const
+{
+    const std::lock_guard lock(mutex_);
+    std::vector<endpoint> list;
+    for (const auto& [name, it] : members_)
+    {
+        list.push_back(it.record.address);
+    }
+    return list;
+}
+
+std::vector<endpoint> gateway_directory::digest_receivers(time_point now) const
+{
+    const std::lock_guard lock(mutex_);
+    std::vector<endpoint> list;
+    if (!has_cells_locked() || rank_in_zone(now, false) != 0)
+    {
+        return list;
+    }
+    for (const auto& [name, it] : members_)
+    {
+        const bool current = now - it.heard_at.value_or(it.added_at) < removal_timeout;
+        if (current && !in_cell(it.record.zone))
+        {
+            list.push_back(it.record.address);
+        }
+    }
+    return list;
+}
+
+std::size_t gateway_directory::size() const
+{
+    const std::lock_guard lock(mutex_);
+    return members_.size() + 1;
+}
+
+/// Returns the number of gateways of this zone that precede this one in taking on
+/// duties. Those that were never heard count if `count_unheard` is set.
+std::size_t gateway_directory::rank_in_zone(time_point now, bool count_unheard) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(members_.begin(), members_.end(), [&](const auto& entry) {
+            const auto& it = entry.second;
+            return it.record.zone == self_.zone && !it.status.store_failed &&
+                   (is_current(it.heard_at, now) || (count_unheard && !it.heard_at)) &&
+                   duty_order(it.record) < duty_order(self_);
+        }));
+}
+
+bool gateway_directory::store_failed_recently(time_point now) const
+{
+    return store_failed_at_ && now - *store_failed_at_ < store_failure_time;
+}
+
+bool gateway_directory::should_watch_store(time_point now) const
+{
+    const std::lock_guard lock(mutex_);
+    return should_watch_store_locked(now);
+}
+
+bool gateway_directory::may_call_store(time_point now) const
+{
+    const std::lock_guard lock(mutex_);
+    return !store_failed_recently(now) || should_watch_store_locked(now);
+}
+
+bool gateway_directory::should_watch_store_locked(time_point now) const
+{
+    if (!published_at_ && is_starting(now))
+    {
+        return false;
+    }
+    if (!store_failed_recently(now))
+    {
+        return rank_in_zone(now, is_starting(now)) < relays_per_zone;
+    }
+    // While the store fails for the whole zone, the first gateways keep trying.
+    std::size_t preceding = 0;
+    for (const auto& [name, it] : members_)
+    {
+        if (!is_current(it.heard_at, now) || it.record.zone != self_.zone)
+        {
+            continue;
+        }
+        if (!it.status.store_failed)
+        {
+            return false;
+        }
+        preceding += duty_order(it.record) < duty_order(self_) ? 1 : 0;
+    }
+    return preceding < relays_per_zone;
+}
+
+/// Until the first announcements have arrived, the published gateways count as live.
+bool gateway_directory::is_starting(time_point now) const
+{
+    return now - published_at_.value_or(started_at_) < relay_startup_time;
+}
+
+bool gateway_directory::may_gain_relay(time_point now) const
+{
+    const std::lock_guard lock(mutex_);
+    return is_starting(now) && !should_watch_store_locked(now);
+}
+
+std::vector<endpoint> gateway_directory::relays(time_point now) const
+{
+    const std::lock_guard lock(mutex_);
+    std::vector<const gateway_record*> found;
+    for (const auto& [name, it] : members_)
+    {
+        const bool live = is_current(it.heard_at, now);
+        const bool failed =
+            it.relay_failed_at && now - *it.relay_failed_at < relay_failure_time;
+        if (live && !failed && it.status.watches && it.record.zone == self_.zone)
+        {
+            found.push_back(&it.record);
+        }
+    }
+    std::sort(found.begin(), found.end(), [](const auto* a, const auto* b) {
+        return duty_order(*a) < duty_order(*b);
+    });
+    std::vector<endpoint> list;
+    for (const auto* it : found)
+    {
+        list.push_back(it->address);
+    }
+    return list;
+}
+
+void gateway_directory::record_relay_failure(const endpoint& relay, time_point now)
+{
+    const std::lock_guard lock(mutex_);
+    for (auto& [name, it] : members_)
+    {
+        if (it.record.address == relay)
+        {
+            it.relay_failed_at = now;
+        }
+    }
+}
+
+void gateway_directory::record_store_call(watched_table table, bool succeeded,
+                                          time_point now)
+{
+    const std::lock_guard lock(mutex_);
+    watching_[to_index(table)] = succeeded;
+    if (succeeded)
+    {
+        store_failed_at_.reset();
+    }
+    else
+    {
+        store_failed_at_ = now;
+    }
+    own_.watches = std::all_of(watching_.begin(), watching_.end(), std::identity());
+}
+
+void gateway_directory::record_relayed(watched_table table)
+{
+    const std::lock_guard lock(mutex_);
+    watching_[to_index(table)] = false;
+    own_.watches = false;
+}
+
+void gateway_directory::record_change(watched_table table, std::uint64_t version,
+                                      time_point now)
+{
+    const std::lock_guard lock(mutex_);
+    auto& known = own_.changes[to_index(table)];
+    known = std::max(known, version);
+    note_change(table, version, now);
+}
+
+void gateway_directory::note_change(watched_table table, std::uint64_t version,
+                                    time_point now)
+{
+    auto& it = newest_[to_index(table)];
+    if (version > it.version)
+    {
+        it = {version, now};
+    }
+}
+
+bool gateway_directory::lags(watched_table table, std::uint64_t version,
+                             time_point now) const
+{
+    const std::lock_guard lock(mutex_);
+    const auto& it = newest_[to_index(table)];
+    return it.version > version && now - it.announced_at >= max_relay_delay;
+}
+
+store_status gateway_directory::own_status(time_point now) const
+{
+    const std::lock_guard lock(mutex_);
+    auto it = own_;
+    it.store_failed = store_failed_recently(now);
+    return it;
+}
+
+} // namespace pistachiopost
--- /dev/null
+++ b/source/process/gateway_directory.hpp
@@ -0,0 +1,136 @@
+/// \file
+/// Membership of the fleet of gateways: who receives load reports, and which gateways
+/// watch the store on behalf of their availability zone.
+///
+/// Small fleets exchange load reports in a full mesh. In larger ones the gateways of an
+/// availability zone form a cell: reports stay within it, and one gateway sends a digest
+/// of the cell's load to the other zones. The cost of a gateway thus follows the size of
+/// its cell.
+#pragma once
+
+#include "connection/unique_fd.hpp"
+#include "process/store_status.hpp"
+#include "request/time_types.hpp"
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace pistachiopost {
+
+/// A gateway as published in the store.
+struct gateway_record
+{
+    std::string name;
+    endpoint address; ///< UDP for reports, TCP for relayed tables.
+    std::string zone;
+    double cores = 0; ///< Share of a processor core that its VM provides.
+
+    bool operator==(const gateway_record&) const = default;
+};
+
+/// Fleets of up to this many gateways exchange reports in a full mesh.
+inline constexpr std::size_t max_full_mesh_gateways = 32;
+
+/// Thread-safe directory of all gateways.
+class gateway_directory
+{
+public:
+    gateway_directory(gateway_record self, time_point now)
+        : self_(std::move(self)), started_at_(now)
+    {
+    }
+
+    /// Adds the gateways published in the store.
+    void add_published(std::span<const gateway_record> gateways, time_point now);
+    /// Records a message of another gateway; returns whether that gateway is new or was
+    /// silent before.
+    bool record_message(const gateway_record& sender, const store_status& status,
+                        time_point now);
+
+    /// Returns whether the published gateways have been added.
+    [[nodiscard]] bool is_complete() const;
+    /// Returns whether the fleet is divided into cells.
+    [[nodiscard]] bool has_cells() const;
+    /// Returns whether gateways of `zone` are in the cell of this one.
+    [[nodiscard]] bool shares_cell(std::string_view zone) const;
+    /// Returns the receivers of a load report: the cell and the gateways of `zones`.
+    [[nodiscard]] std::vector<endpoint>
+    report_receivers(const std::set<std::string, std::less<>>& zones,
+                     time_point now) const;
+    /// Returns all other gateways, including those that are silent.
+    [[nodiscard]] std::vector<endpoint> all_others() const;
+    /// Returns the receivers of this gateway's digest: the gateways outside the cell, or
+    /// nobody if another gateway sends it.
+    [[nodiscard]] std::vector<endpoint> digest_receivers(time_point now) const;
+    /// Returns the number of gateways, including this one.
+    [[nodiscard]] std::size_t size() const;
+    [[nodiscard]] const gateway_record& self() const { return self_; }
+
+    /// Returns whether this gateway should watch the store itself.
+    [[nodiscard]] bool should_watch_store(time_point now) const;
+    /// Returns whether this gateway may call the store although it is not to watch it.
+    /// While the store fails, only those that are to watch it call it.
+    [[nodiscard]] bool may_call_store(time_point now) const;
+    /// Returns whether a gateway that is to watch the store for this zone may still
+    /// announce itself after the start.
+    [[nodiscard]] bool may_gain_relay(time_point now) const;
+    /// Returns the gateways that watch the store and answer for it, preferred ones first.
+    [[nodiscard]] std::vector<endpoint> relays(time_point now) const;
+    /// Records that a relay does not answer or lags behind.
+    void record_relay_failure(const endpoint& relay, time_point now);
+    /// Records the result of a call of this gateway to the store.
+    void record_store_call(watched_table table, bool succeeded, time_point now);
+    /// Records that this gateway reads `table` from a relay.
+    void record_relayed(watched_table table);
+    /// Records the latest change of `table` known to this gateway.
+    void record_change(watched_table table, std::uint64_t version, time_point now);
+    /// Returns whether another gateway announced a change of `table` after `version` so
+    /// long ago that it should have arrived.
+    [[nodiscard]] bool lags(watched_table table, std::uint64_t version,
+                            time_point now) const;
+    /// Returns what this gateway announces to the others.
+    [[nodiscard]] store_status own_status(time_point now) const;
+
+private:
+    struct member
+    {
+        gateway_record record;
+        store_status status;
+        time_point added_at;
+        std::optional<time_point> heard_at;
+        std::optional<time_point> relay_failed_at;
+    };
+    struct announced_change
+    {
+        std::uint64_t version = 0;
+        time_point announced_at;
+    };
+
+    [[nodiscard]] bool in_cell(std::string_view zone) const;
+    [[nodiscard]] bool has_cells_locked() const;
+    [[nodiscard]] bool is_starting(time_point now) const;
+    [[nodiscard]] bool store_failed_recently(time_point now) const;
+    [[nodiscard]] bool should_watch_store_locked(time_point now) const;
+    [[nodiscard]] std::size_t rank_in_zone(time_point now, bool count_unheard) const;
+    void note_change(watched_table table, std::uint64_t version, time_point now);
+
+    gateway_record self_;
+    mutable std::mutex mutex_;
+    std::map<std::string, member, std::less<>> members_; ///< Without this gateway.
+    time_point started_at_;
+    std::optional<time_point> published_at_; ///< Since then the others are known.
+    std::optional<time_point> store_failed_at_;
+    std::array<bool, watched_table_count> watching_{};
+    store_status own_;
+    std::array<announced_change, watched_table_count> newest_{};
+};
+
+} // namespace pistachiopost
--- a/source/process/gateway_process.hpp
+++ b/source/process/gateway_process.hpp
@@ -2,10 +2,15 @@
 /// The gateway process, which serves callers on an entry VM of the platform.
 #pragma once
 
+#include "connection/codec_error.hpp"
 #include "connection/gateway_connection.hpp"
+#include "connection/gateway_record_codec.hpp"
 #include "connection/peer_link.hpp"
+#include "connection/relay_client.hpp"
+#include "connection/relay_server.hpp"
 #include "connection/status_server.hpp"
 #include "process/platform_followers.hpp"
+#include "process/relayed_store.hpp"
 #include "process/settings_reloader.hpp"
 #include "process/store_watch.hpp"
 #include "process/task.hpp"
@@ -22,8 +27,8 @@
 /// changes arrive one by one. A leaving backend server may still get work for two
 /// seconds.
 inline constexpr milliseconds backends_batch_delay{300};
-/// The same for the table of gateways, whose changes are not urgent.
-inline constexpr milliseconds gateways_batch_delay{1'000};
+/// Interval at which the number of known gateways is applied to the shares of each.
+inline constexpr milliseconds fleet_size_interval{1'000};
 
 /// Polling interval of the settings file, which may change without a signal.
 inline constexpr milliseconds settings_poll_interval{1'000};
@@ -73,30 +78,68 @@
     });
 }
 
-/// Publishes the address of this gateway, retrying until it succeeds or the process
-/// stops.
-template <typename Store>
-void publish_address(Store store, const gateway_settings& settings, stop_flag& stop)
+/// Repeats a call to the store until it succeeds or the process stops.
+template <typename Call>
+void retry_store_call(std::string_view what, stop_flag& stop, const Call& call)
 {
     retry_backoff backoff;
     do
     {
         try
         {
-            store.write_row(gateways_table, settings.self.vm, to_string(settings.peers));
-            log_event(log_level::info, "address published to the other gateways",
-                      {{"address", to_string(settings.peers)}});
+            call();
             return;
         }
         catch (const store_error& it)
         {
-            log_event(log_level::warn,
-                      "publishing the address to the other gateways failed; retrying",
-                      {{"fault", it.what()}});
+            log_event(log_level::warn, "call to the store failed; retrying",
+                      {{"call", what}, {"fault", it.what()}});
         }
     } while (!stop.wait_for(backoff.next()));
 }
 
+/// Publishes this gateway, then reads which others there are. Of two gateways that start
+/// at the same time at least the second reads the row of the first, and announces itself
+/// to it; so the table need not be watched.
+template <typename Store>
+void join_fleet(Store store, gateway_directory& directory, stop_flag& stop)
+{
+    const auto& self = directory.self();
+    retry_store_call("publish gateway", stop, [&] {
+        store.write_row(gateways_table, self.name, encode_gateway_record(self));
+    });
+    retry_store_call("read gateways", stop, [&] {
+        std::vector<gateway_record> gateways;
+        for (const auto& it : store.read_table(gateways_table).rows)
+        {
+            try
+            {
+                gateways.push_back(decode_gateway_record(it.key, it.value));
+            }
+            catch (const codec_error& ex)
+            {
+                log_event(log_level::warn, "invalid row of a gateway ignored",
+                          {{"gateway", it.key}, {"fault", ex.what()}});
+            }
+        }
+        directory.add_published(gateways, steady::now());
+        log_event(log_level::info, "gateways read",
+                  {{"count", static_cast<std::uint64_t>(gateways.size())}});
+    });
+}
+
+/// Follows a table, directly or through a relay, until `stop`.
+template <typename Store, typename Follower>
+void follow_table(Store store, std::string_view table, watched_table id,
+                  gateway_directory& directory, table_cache& cache, Follower& follower,
+                  stop_flag& stop, milliseconds batch_delay = milliseconds{0})
+{
+    caching_follower<Follower> cached(follower, cache, directory, id);
+    watch_table(
+        relayed_store<Store, relay_client>(std::move(store), directory, id, cache), table,
+        cached, stop, batch_delay);
+}
+
 /// Waits until the load balancer has noticed the stop, then accepts no new connections,
 /// closes idle ones and waits for requests in progress.
 inline void drain(gateway_state& state, stop_flag& stop)
@@ -127,38 +170,56 @@
     auto callers = listen_tcp(settings.listen);
     const auto readiness = listen_tcp(settings.readiness);
     const auto metrics = listen_tcp(settings.metrics);
-    peer_link peers(settings.self.vm, settings.peers, state.dispatch, state.crashes);
+    const auto relayed = listen_tcp(settings.peers);
+    gateway_directory directory(
+        {settings.self.vm, settings.peers, settings.self.zone, settings.cores},
+        steady::now());
+    table_cache configuration_rows;
+    table_cache backend_rows;
+    peer_link peers(directory, state.dispatch, state.crashes);
     configuration_follower<codec> configurations(state);
     backend_follower<codec> backends(state);
-    peer_follower gateways(settings.self.vm, [&](const auto& it) {
-        peers.set_peers(it);
-        state.budgets.set_gateway_count(it.size() + 1);
-    });
     stop_flag stop;
     stop_flag draining; // never set; drain() only uses it for timed waits
     const auto end_fd = open_event_fd();
 
     task follow_configuration([&] {
-        watch_table(store(settings.store), codec::operator_table, configurations, stop);
+        follow_table(store(settings.store), codec::operator_table,
+                     watched_table::configuration, directory, configuration_rows,
+                     configurations, stop);
     });
     task follow_backends([&] {
-        watch_table(store(settings.store), codec::backends_table, backends, stop,
-                    backends_batch_delay);
+        follow_table(store(settings.store), codec::backends_table,
+                     watched_table::backends, directory, backend_rows, backends, stop,
+                     backends_batch_delay);
     });
     task follow_gateways([&] {
-        publish_address(store(settings.store), settings, stop);
-        watch_table(store(settings.store), gateways_table, gateways, stop,
-                    gateways_batch_delay);
+        join_fleet(store(settings.store), directory, stop);
+        do
+        {
+            state.dispatch.set_cells(directory.has_cells());
+            state.budgets.set_gateway_count(directory.size());
+        } while (!stop.wait_for(fleet_size_interval));
+    });
+    task serve_relayed([&] {
+        serve_status(relayed, end_fd.get(), [&](const received_request& request) {
+            return answer_relay_request(
+                request.body, [&](std::string_view table) -> table_cache* {
+                    return table == codec::operator_table   ? &configuration_rows
+                           : table == codec::backends_table ? &backend_rows
+                                                            : nullptr;
+                });
+        });
     });
     task send_load([&] { peers.run_sender(stop); });
     task receive_load([&] { peers.run_receiver(end_fd.get()); });
     task serve_readiness([&] {
-        serve_status(readiness, end_fd.get(), [&state] {
+        serve_status(readiness, end_fd.get(), [&state](const received_request&) {
             return status_response{state.ready() ? 200 : 503, "text/plain", ""};
         });
     });
     task serve_metrics([&] {
-        serve_status(metrics, end_fd.get(), [&state] {
+        serve_status(metrics, end_fd.get(), [&state](const received_request&) {
             const std::chrono::duration<double> unix_time =
                 std::chrono::system_clock::now().time_since_epoch();
             return status_response{
--- a/source/process/load_tracker.cpp
+++ b/source/process/load_tracker.cpp
@@ -28,6 +28,14 @@
                     load.unconfirmed_prefill_ms * min_unconfirmed_share);
 }
 
+backend_load max_load(const backend_load& a, const backend_load& b)
+{
+    return {
+        std::max(a.requests, b.requests), std::max(a.short_requests, b.short_requests),
+        std::max(a.memory_tokens, b.memory_tokens), std::max(a.prefill_ms, b.prefill_ms),
+        std::max(a.unconfirmed_prefill_ms, b.unconfirmed_prefill_ms)};
+}
+
 } // namespace
 
 backend_load& backend_load::operator+=(const backend_load& other)
@@ -83,20 +91,43 @@
     }
 }
 
+void load_tracker::remove_parts(const report_state& report)
+{
+    for (const auto& backend : report.backends)
+    {
+        const auto it = reported_.find(backend);
+        if (it == reported_.end())
+        {
+            continue; // listed twice in the report
+        }
+        std::erase_if(it->second,
+                      [&](const reported_part& part) { return part.report == &report; });
+        if (it->second.empty())
+        {
+            reported_.erase(it);
+        }
+    }
+}
+
 void load_tracker::apply_report(const load_report_message& message, time_point now)
 {
-    auto& it = peers_[message.gateway];
-    if (it.boot == message.boot && message.sequence <= it.sequence)
+    auto& it = message.is_digest ? digests_[message.zone] : peers_[message.gateway];
+    if (it.sender == message.gateway && it.boot == message.boot &&
+        message.sequence <= it.sequence)
     {
         return;
     }
+    remove_parts(it);
+    it.sender = message.gateway;
     it.boot = message.boot;
     it.sequence = message.sequence;
     it.received_at = now;
-    it.loads.clear();
+    it.is_digest = message.is_digest;
+    it.backends.clear();
     for (const auto& [backend, load] : message.loads)
     {
-        it.loads.emplace(backend, load);
+        it.backends.push_back(backend);
+        reported_[backend].push_back({&it, load});
     }
 }
 
@@ -108,17 +139,24 @@
         sum = it->second.load;
         sum.prefill_ms = conservative_prefill_ms(sum, now - it->second.updated);
     }
-    for (const auto& [name, other] : peers_)
+    const auto parts = reported_.find(backend);
+    if (parts == reported_.end())
+    {
+        return sum;
+    }
+    backend_load digest;
+    for (const auto& [report, reported] : parts->second)
     {
-        const auto it = other.loads.find(backend);
-        if (now - other.received_at < peer_timeout && it != other.loads.end())
+        const auto age = now - report->received_at;
+        if (age < peer_timeout)
         {
-            auto load = it->second;
-            load.prefill_ms = conservative_prefill_ms(load, now - other.received_at);
-            sum += load;
+            auto load = reported;
+            load.prefill_ms = conservative_prefill_ms(load, age);
+            (report->is_digest ? digest : sum) += load;
         }
     }
-    return sum;
+    // A digest repeats what this gateway and its peers put on the backend server.
+    return max_load(sum, digest);
 }
 
 std::size_t load_tracker::live_gateways(time_point now) const
@@ -130,6 +168,12 @@
            static_cast<std::size_t>(std::count_if(peers_.begin(), peers_.end(), is_live));
 }
 
+bool load_tracker::has_digest(std::string_view zone, time_point now) const
+{
+    const auto it = digests_.find(zone);
+    return it != digests_.end() && now - it->second.received_at < peer_timeout;
+}
+
 std::vector<reported_load> load_tracker::local_loads(time_point now) const
 {
     std::vector<reported_load> loads;
--- a/source/process/load_tracker.hpp
+++ b/source/process/load_tracker.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "process/crash_tracker.hpp"
+#include "process/store_status.hpp"
 #include "request/time_types.hpp"
 
 #include <cstdint>
@@ -40,8 +41,14 @@
 struct load_report_message
 {
     std::string gateway;        ///< Name of the sender.
+    std::string zone;           ///< Availability zone of the sender.
+    double cores = 0;           ///< Processor share of the sender's VM.
     std::uint64_t sequence = 0; ///< Increases with each message of one process.
     std::uint64_t boot = 0;     ///< Differs between processes of one gateway.
+    /// The loads are those of all gateways on the backend servers of the zone, not those
+    /// of the sender alone.
+    bool is_digest = false;
+    store_status store;
     std::vector<reported_load> loads;
     std::vector<crash_report> crashes;
 };
@@ -56,13 +63,17 @@
     void remove(std::string_view backend, const backend_load& work, time_point now);
     /// Records that the first event of `work` has arrived, so that its prefill is done.
     void prefill_done(std::string_view backend, const backend_load& work);
-    /// Replaces the load reported by a peer; outdated messages are ignored.
+    /// Replaces the load reported by a peer, or the digest of its zone; outdated messages
+    /// are ignored.
     void apply_report(const load_report_message& message, time_point now);
 
-    /// Returns the load that this gateway and all live peers put on a backend server.
+    /// Returns the load that this gateway and all live peers put on a backend server. In
+    /// another zone it is at least that of the zone's digest.
     [[nodiscard]] backend_load total_load(std::string_view backend, time_point now) const;
     /// Returns the number of live gateways, including this one.
     [[nodiscard]] std::size_t live_gateways(time_point now) const;
+    /// Returns whether the digest of a zone is current.
+    [[nodiscard]] bool has_digest(std::string_view zone, time_point now) const;
     /// Returns the load that this gateway itself put on each backend server.
     [[nodiscard]] std::vector<reported_load> local_loads(time_point now) const;
 
@@ -72,16 +83,31 @@
         backend_load load;
         time_point updated;
     };
-    struct peer_state
+    /// The latest message of a peer, or the latest digest of a zone.
+    struct report_state
     {
+        std::string sender;
         std::uint64_t boot = 0;
         std::uint64_t sequence = 0;
         time_point received_at;
-        std::map<std::string, backend_load, std::less<>> loads;
+        bool is_digest = false;
+        std::vector<std::string> backends; ///< With an entry in reported_.
     };
+    struct reported_part
+    {
+        const report_state* report = nullptr;
+        backend_load load;
+    };
+    using backend_parts = std::vector<reported_part>;
+
+    void remove_parts(const report_state& report);
 
     std::map<std::string, timed_load, std::less<>> local_;
-    std::map<std::string, peer_state, std::less<>> peers_;
+    std::map<std::string, report_state, std::less<>> peers_;   ///< By gateway.
+    std::map<std::string, report_state, std::less<>> digests_; ///< By zone.
+    /// By backend server. Each request sums over the few peers that use a server, not
+    /// over all peers.
+    std::map<std::string, backend_parts, std::less<>> reported_;
 };
 
 } // namespace pistachiopost
--- a/source/process/platform_followers.hpp
+++ b/source/process/platform_followers.hpp
@@ -7,10 +7,8 @@
 #include "process/stored_row.hpp"
 
 #include <exception>
-#include <functional>
-#include <map>
 #include <optional>
-#include <string>
+#include <vector>
 
 namespace pistachiopost {
 
@@ -129,26 +127,4 @@
     gateway_state& state_;
 };
 
-/// Follows the table of gateways, which holds the addresses of the peers.
-class peer_follower
-{
-public:
-    /// `set_peers` is called with the addresses of all other gateways.
-    peer_follower(std::string own_name,
-                  std::function<void(const std::vector<endpoint>&)> set_peers)
-        : own_name_(std::move(own_name)), set_peers_(std::move(set_peers))
-    {
-    }
-
-    void on_snapshot(const row_batch& batch, time_point now);
-    void on_changes(const row_batch& batch, time_point now);
-    void on_store_unavailable(time_point) {}
-    void on_store_available(time_point) {}
-
-private:
-    std::string own_name_;
-    std::function<void(const std::vector<endpoint>&)> set_peers_;
-    std::map<std::string, endpoint> peers_;
-};
-
 } // namespace pistachiopost
--- /dev/null
+++ b/source/process/relayed_store.hpp
@@ -0,0 +1,194 @@
+/// \file
+/// Reads a table of the store either directly or through a gateway of the same
+/// availability zone that watches the store.
+///
+/// Calls to the store are limited for the whole fleet and charged. Two gateways of each
+/// zone watch it, the others ask them. A gateway that gets no answer from either, or
+/// learns that they lag behind, calls the store itself.
+#pragma once
+
+#include "process/gateway_directory.hpp"
+#include "process/logging.hpp"
+#include "process/stored_row.hpp"
+#include "process/table_cache.hpp"
+
+#include <algorithm>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <thread>
+
+namespace pistachiopost {
+
+/// Satisfies row_store for one table. Not thread-safe. `Store` is the store's client,
+/// `Relay` the client of a relay.
+template <typename Store, typename Relay>
+class relayed_store
+{
+public:
+    /// `cache` holds the rows of the table once they have been followed.
+    relayed_store(Store store, gateway_directory& directory, watched_table id,
+                  table_cache& cache)
+        : store_(std::move(store)), directory_(directory), id_(id), cache_(cache)
+    {
+    }
+
+    /// Reads all rows of the table. Throws store_error.
+    row_batch read_table(std::string_view table)
+    {
+        return fetch(table, 0, milliseconds{0}, [&] { return store_.read_table(table); });
+    }
+
+    /// Waits up to `wait` for changes after `since`. Throws store_error or
+    /// history_compacted.
+    row_batch wait_for_changes(std::string_view table, std::uint64_t since,
+                               milliseconds wait)
+    {
+        return fetch(table, since, wait,
+                     [&] { return store_.wait_for_changes(table, since, wait); });
+    }
+
+private:
+    // Longest wait of one call to a relay. Bounds the time after which a relay that
+    // stopped silently is noticed.
+    static constexpr milliseconds max_relay_wait{1'000};
+    static constexpr milliseconds relay_poll_interval{25};
+
+    template <typename Call>
+    row_batch fetch(std::string_view table, std::uint64_t since, milliseconds wait,
+                    const Call& call_store)
+    {
+        for (;;)
+        {
+            if (!directory_.should_watch_store(steady::now()))
+            {
+                if (auto batch = ask_relays(table, since, wait))
+                {
+                    return *batch;
+                }
+            }
+            if (!directory_.may_gain_relay(steady::now()))
+            {
+                break;
+            }
+            std::this_thread::sleep_for(relay_poll_interval);
+        }
+        if (!directory_.may_call_store(steady::now()))
+        {
+            throw store_error("no relay of the zone answers, and the store failed");
+        }
+        return ask_store(call_store);
+    }
+
+    template <typename Call>
+    row_batch ask_store(const Call& call_store)
+    {
+        relay_.reset();
+        try
+        {
+            auto batch = call_store();
+            cache_.set_relayed(true);
+            directory_.record_store_call(id_, true, steady::now());
+            return batch;
+        }
+        catch (const history_compacted&)
+        {
+            throw; // the store answered
+        }
+        catch (const store_error&)
+        {
+            cache_.set_relayed(false);
+            directory_.record_store_call(id_, false, steady::now());
+            throw;
+        }
+    }
+
+    /// Asks the relays in turn; nothing if none answers.
+    std::optional<row_batch> ask_relays(std::string_view table, std::uint64_t since,
+                                        milliseconds wait)
+    {
+        cache_.set_relayed(false);
+        directory_.record_relayed(id_);
+        for (const auto& it : directory_.relays(steady::now()))
+        {
+            if (!relay_ || address_ != it)
+            {
+                relay_ = std::make_unique<Relay>(it);
+                address_ = it;
+            }
+            try
+            {
+                auto batch =
+                    relay_->changes(table, since, std::min(wait, max_relay_wait));
+                if (!directory_.lags(id_, std::max(batch.version, since), steady::now()))
+                {
+                    return batch;
+                }
+                log_failure(table, "lags behind other gateways");
+            }
+            catch (const history_compacted&)
+            {
+                throw;
+            }
+            catch (const store_error& ex)
+            {
+                log_failure(table, ex.what());
+            }
+            directory_.record_relay_failure(it, steady::now());
+        }
+        return std::nullopt;
+    }
+
+    void log_failure(std::string_view table, std::string_view fault)
+    {
+        log_event(log_level::info, "relay of the store failed",
+                  {{"table", table}, {"relay", to_string(address_)}, {"fault", fault}});
+    }
+
+    Store store_;
+    gateway_directory& directory_;
+    watched_table id_;
+    table_cache& cache_;
+    std::unique_ptr<Relay> relay_; ///< Connected to address_.
+    endpoint address_;
+};
+
+/// Keeps the rows that a follower receives, so that they can be relayed.
+template <typename Follower>
+class caching_follower
+{
+public:
+    caching_follower(Follower& follower, table_cache& cache, gateway_directory& directory,
+                     watched_table id)
+        : follower_(follower), cache_(cache), directory_(directory), id_(id)
+    {
+    }
+
+    void on_snapshot(const row_batch& batch, time_point now)
+    {
+        cache_.replace(batch);
+        directory_.record_change(id_, cache_.last_change(), now);
+        follower_.on_snapshot(batch, now);
+    }
+    void on_changes(const row_batch& batch, time_point now)
+    {
+        cache_.apply(batch);
+        directory_.record_change(id_, cache_.last_change(), now);
+        follower_.on_changes(batch, now);
+    }
+    void on_store_unavailable(time_point now) { follower_.on_store_unavailable(now); }
+    void on_store_available(time_point now)
+    {
+        cache_.record_recovery(now);
+        follower_.on_store_available(now);
+    }
+
+private:
+    Follower& follower_;
+    table_cache& cache_;
+    gateway_directory& directory_;
+    watched_table id_;
+};
+
+} // namespace pistachiopost
--- /dev/null
+++ b/source/process/store_status.hpp
@@ -0,0 +1,30 @@
+/// \file
+/// What a gateway announces about its own view of the store.
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+namespace pistachiopost {
+
+/// Tables of the store that every gateway follows.
+enum class watched_table
+{
+    configuration,
+    backends
+};
+inline constexpr std::size_t watched_table_count = 2;
+
+/// Announced by a gateway in each message to its peers.
+struct store_status
+{
+    bool watches = false;      ///< Follows all tables at the store itself.
+    bool store_failed = false; ///< Its last call to the store failed a short time ago.
+    /// Version of the latest change that it knows, by table.
+    std::array<std::uint64_t, watched_table_count> changes{};
+
+    bool operator==(const store_status&) const = default;
+};
+
+} // namespace pistachiopost
--- a/source/process/store_watch.hpp
+++ b/source/process/store_watch.hpp
@@ -88,6 +88,11 @@
                 follower.on_store_available(now);
             }
             backoff.reset();
+            if (batch.recovered_ago)
+            {
+                follower.on_store_unavailable(now - *batch.recovered_ago);
+                follower.on_store_available(now - *batch.recovered_ago);
+            }
             if (batch.version < version)
             {
                 log_event(
--- a/source/process/stored_row.hpp
+++ b/source/process/stored_row.hpp
@@ -2,7 +2,10 @@
 /// Rows of the platform's store.
 #pragma once
 
+#include "request/time_types.hpp"
+
 #include <cstdint>
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <vector>
@@ -23,6 +26,8 @@
 {
     std::vector<stored_row> rows;
     std::uint64_t version = 0; ///< The store's latest version at that time.
+    /// Time since the store recovered from an outage that the reader may have missed.
+    std::optional<milliseconds> recovered_ago;
 };
 
 /// Thrown if a call to the store fails; the message names the call and the reason.
--- /dev/null
+++ b/tests/connection/relay_test.cpp
@@ -0,0 +1,96 @@
+#include "connection/codec_error.hpp"
+#include "connection/gateway_record_codec.hpp"
+#include "connection/relay_client.hpp"
+#include "connection/relay_codec.hpp"
+#include "connection/relay_server.hpp"
+#include "connection/status_server.hpp"
+#include "process/task.hpp"
+
+#include <criterion/criterion.h>
+
+#include <sys/socket.h>
+
+using namespace pistachiopost;
+
+namespace {
+
+/// A relay of table "t" on the loopback interface, with one row as of version 10.
+struct relay_fixture
+{
+    relay_fixture()
+    {
+        row_batch batch;
+        batch.version = 10;
+        batch.rows = {{"key", std::string("\x00\xff", 2), 4, false}};
+        cache.replace(batch);
+        cache.set_relayed(true);
+        sockaddr_in addr{};
+        socklen_t n = sizeof addr;
+        getsockname(listener.get(), reinterpret_cast<sockaddr*>(&addr), &n);
+        address = {"127.0.0.1", ntohs(addr.sin_port)};
+    }
+
+    ~relay_fixture()
+    {
+        signal_event_fd(stop);
+        serving.join();
+    }
+
+    table_cache cache;
+    endpoint address;
+    unique_fd listener = listen_tcp({"127.0.0.1", 0});
+    unique_fd stop = open_event_fd();
+    task serving{[this] {
+        serve_status(listener, stop.get(), [this](const received_request& request) {
+            return answer_relay_request(request.body, [this](std::string_view table) {
+                return table == "t" ? &cache : nullptr;
+            });
+        });
+    }};
+};
+
+} // namespace
+
+Test(relay, rows_arrive_unchanged)
+{
+    relay_fixture it;
+    const auto batch = relay_client(it.address).changes("t", 0, milliseconds{0});
+    cr_assert_eq(batch.version, 10U);
+    cr_assert_eq(batch.rows.size(), 1U);
+    cr_assert_eq(batch.rows[0].value, std::string("\x00\xff", 2));
+    cr_assert_eq(batch.rows[0].version, 4U);
+}
+
+Test(relay, unknown_history_and_lost_store_are_told_apart)
+{
+    relay_fixture it;
+    relay_client client(it.address);
+    cr_assert_throw(client.changes("t", 3, milliseconds{0}), history_compacted);
+    cr_assert_throw(client.changes("other", 0, milliseconds{0}), store_error);
+    it.cache.set_relayed(false);
+    cr_assert_throw(client.changes("t", 0, milliseconds{0}), store_error);
+}
+
+Test(relay, absent_relay_is_a_store_error)
+{
+    relay_client client({"127.0.0.1", 1});
+    cr_assert_throw(client.changes("t", 0, milliseconds{0}), store_error);
+}
+
+Test(relay, malformed_messages_are_rejected)
+{
+    cr_assert_throw(decode_relay_request("{"), codec_error);
+    cr_assert_throw(decode_relay_request(R"({"table":"t","since":-1,"wait_ms":1})"),
+                    codec_error);
+    cr_assert_throw(decode_row_batch("\x93"), codec_error);
+    cr_assert_throw(decode_gateway_record("me", "10.0.0.1:7340"), codec_error);
+    cr_assert_throw(
+        decode_gateway_record("me", R"({"address":"x","zone":"a","cores":1})"),
+        codec_error);
+}
+
+Test(relay, gateway_record_survives_its_row)
+{
+    const gateway_record it{"me", {"10.0.0.1", 7340}, "a", 0.09};
+    cr_assert_eq(decode_gateway_record("me", encode_gateway_record(it)), it);
+}
--- a/tests/process/gateway_limits_test.cpp
+++ b/tests/process/gateway_limits_test.cpp
@@ -1,5 +1,4 @@
 #include "process/forward_service.hpp"
-#include "process/platform_followers.hpp"
 #include "process/service_retry_budgets.hpp"
 #include "process/store_watch.hpp"
 
@@ -225,18 +224,3 @@
     cr_assert_eq(startup_retry_after(seconds{2}), seconds{2});
     cr_assert_eq(startup_retry_after(seconds{60}), seconds{3});
 }
-
-Test(peer_follower, peers_are_all_gateways_except_this_one)
-{
-    std::vector<endpoint> peers;
-    peer_follower it("me", [&](const auto& list) { peers = list; });
-    row_batch batch;
-    batch.rows = {{"me", "10.0.0.1:7340", 1, false},
-                  {"you", "10.0.0.2:7340", 2, false},
-                  {"bad", "nonsense", 3, false}};
-    it.on_snapshot(batch, start);
-    cr_assert_eq(peers, (std::vector<endpoint>{{"10.0.0.2", 7340}}));
-    batch.rows = {{"you", "", 4, true}};
-    it.on_changes(batch, start);
-    cr_assert(peers.empty());
-}
