Waiting gateways take turns; retries counted by the cell; equal engines chosen by request

Change: retries are counted for the live gateways of a cell together, with a reserve for those not yet reported; waiting gateways are ranked for each engine by hashes and only as many as there are slots take one, one at a time for long prompts; among engines of nearly equal cost the request's hash chooses.

--- a/source/connection/load_report_codec.cpp
+++ b/source/connection/load_report_codec.cpp
@@ -34,6 +34,26 @@
     return crashes;
 }
 
+json encode_retries(const load_report_message& message)
+{
+    auto list = json::array();
+    for (const auto& it : message.retries)
+    {
+        list.push_back({it.service, it.requests, it.retries});
+    }
+    return list;
+}
+
+json encode_waiting(const load_report_message& message)
+{
+    auto list = json::array();
+    for (const auto& it : message.waiting)
+    {
+        list.push_back({it.service, it.long_prefill});
+    }
+    return list;
+}
+
 json encode_status(const store_status& status)
 {
     return json::array({status.watches, status.store_failed, status.changes});
@@ -82,10 +102,10 @@
 
 std::string encode_load_report(const load_report_message& message)
 {
-    const auto body =
-        json::array({message.gateway, message.boot, message.sequence,
-                     encode_loads(message), encode_crashes(message), message.zone,
-                     message.cores, message.is_digest, encode_status(message.store)});
+    const auto body = json::array(
+        {message.gateway, message.boot, message.sequence, encode_loads(message),
+         encode_crashes(message), message.zone, message.cores, message.is_digest,
+         encode_status(message.store), encode_retries(message), encode_waiting(message)});
     const auto bytes = json::to_msgpack(body);
     return {bytes.begin(), bytes.end()};
 }
@@ -111,6 +131,15 @@
         it.cores = body.at(6);
         it.is_digest = body.at(7);
         it.store = read_status(body.at(8));
+        for (const auto& one : body.at(9))
+        {
+            it.retries.push_back(
+                {one.at(0), read_count(one.at(1)), read_count(one.at(2))});
+        }
+        for (const auto& one : body.at(10))
+        {
+            it.waiting.push_back({one.at(0), one.at(1)});
+        }
         return it;
     }
     catch (const json::exception& ex)
--- a/source/connection/peer_link.cpp
+++ b/source/connection/peer_link.cpp
@@ -43,10 +43,10 @@
 } // namespace
 
 peer_link::peer_link(gateway_directory& directory, dispatcher& dispatch,
-                     crash_tracker& crashes)
+                     crash_tracker& crashes, service_retry_budgets& budgets)
     : directory_(directory), boot_(std::random_device()()),
       sock_(::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)),
-      dispatcher_(dispatch), crashes_(crashes)
+      dispatcher_(dispatch), crashes_(crashes), budgets_(budgets)
 {
     const auto& local = directory.self().address;
     const auto addr = to_sockaddr(local);
@@ -88,6 +88,7 @@
     auto message = dispatcher_.report(now);
     message.store = next.store;
     message.crashes = next.crashes;
+    message.retries = budgets_.take_counts();
     if (to_all)
     {
         sent_to_all_at_ = now;
@@ -192,6 +193,10 @@
         newcomers_.push_back(sender);
         dispatcher_.request_report();
     }
+    if (!message.is_digest && directory_.shares_cell(message.zone))
+    {
+        budgets_.apply_counts(message.gateway, message.boot, message.retries, now);
+    }
     dispatcher_.apply_report(message, now);
 }
 
--- a/source/connection/peer_link.hpp
+++ b/source/connection/peer_link.hpp
@@ -23,7 +23,8 @@
 {
 public:
     /// Binds the UDP socket to the address of this gateway. Throws connection_error.
-    peer_link(gateway_directory& directory, dispatcher& dispatch, crash_tracker& crashes);
+    peer_link(gateway_directory& directory, dispatcher& dispatch, crash_tracker& crashes,
+              service_retry_budgets& budgets);
 
     /// Sends reports until `stop` is set. Runs on one task.
     void run_sender(stop_flag& stop);
@@ -52,6 +53,7 @@
     unique_fd sock_;
     dispatcher& dispatcher_;
     crash_tracker& crashes_;
+    service_retry_budgets& budgets_;
     std::uint64_t sequence_ = 0;
     std::optional<sent_report> last_;
     time_point digest_sent_at_;
--- a/source/process/candidate_choice.hpp
+++ b/source/process/candidate_choice.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "process/placement.hpp"
+#include "process/slot_contention.hpp"
 
 #include <span>
 #include <string_view>
@@ -41,4 +42,26 @@
     return best;
 }
 
+/// Like min_cost_candidate(), but selects by `spread` among the candidates whose cost
+/// exceeds the lowest by at most `tolerance`. Gateways that place requests at the same
+/// time, before they hear of each other, thus choose different ones.
+template <typename Fits, typename Cost>
+const placement_candidate*
+spread_candidate(std::span<const placement_candidate> candidates, const Fits& fits,
+                 const Cost& cost, double tolerance, std::uint64_t spread)
+{
+    const auto* best = min_cost_candidate(candidates, fits, cost);
+    if (best == nullptr)
+    {
+        return nullptr;
+    }
+    const double limit = cost(*best) + tolerance;
+    return min_cost_candidate(
+        candidates,
+        [&](const placement_candidate& it) { return fits(it) && cost(it) <= limit; },
+        [&](const placement_candidate& it) {
+            return static_cast<double>(spread ^ contention_hash(it.backend->id));
+        });
+}
+
 } // namespace pistachiopost
--- a/source/process/dispatcher.cpp
+++ b/source/process/dispatcher.cpp
@@ -73,6 +73,7 @@
 {
     const std::lock_guard lock(mutex_);
     queue_.push_back(&queued);
+    ++load_generation_;
     serve_queue(now);
 }
 
@@ -80,6 +81,7 @@
 {
     const std::lock_guard lock(mutex_);
     queue_.remove(&queued);
+    ++load_generation_;
     serve_queue(now);
     return std::move(queued.place_);
 }
@@ -100,6 +102,7 @@
 {
     const std::lock_guard lock(mutex_);
     loads_.remove(place.main.backend.id, place.main.work, now);
+    unreported_releases_.insert(place.main.backend.id);
     for (const auto& it : place.helpers)
     {
         loads_.remove(it.backend.id, it.work, now);
@@ -183,11 +186,15 @@
     return message;
 }
 
-load_report_message dispatcher::report(time_point now) const
+load_report_message dispatcher::report(time_point now)
 {
     const std::lock_guard lock(mutex_);
+    unreported_releases_.clear();
+    unreported_placements_.clear();
+    loads_.mark_reported(self_, now);
     load_report_message it;
     it.loads = loads_.local_loads(now);
+    it.waiting = waiting_kinds();
     return it;
 }
 
@@ -227,17 +234,88 @@
     return entry->second;
 }
 
+std::vector<waiting_work> dispatcher::waiting_kinds() const
+{
+    std::vector<waiting_work> kinds;
+    for (const auto* it : queue_)
+    {
+        const waiting_work one{std::string(it->request_->service),
+                               is_long_prefill(*it->request_)};
+        if (std::find(kinds.begin(), kinds.end(), one) == kinds.end())
+        {
+            kinds.push_back(one);
+        }
+    }
+    return kinds;
+}
+
+/// Returns a number that is the same at all gateways that know the same rivals, and
+/// changes with them or after a turn.
+std::uint64_t dispatcher::long_prefill_turn(std::string_view service,
+                                            std::span<const std::uint64_t> rivals,
+                                            time_point now)
+{
+    auto state = self_;
+    for (const auto rival : rivals)
+    {
+        state ^= rival;
+    }
+    auto& known = long_rivals_[std::string(service)];
+    if (known.state != state)
+    {
+        known = {state, now};
+    }
+    return state + static_cast<std::uint64_t>((now - known.since) / turn_duration);
+}
+
+bool dispatcher::yield_to_rivals(const placement_request& request,
+                                 std::vector<placement_candidate>& candidates,
+                                 time_point now)
+{
+    const waiting_work work{std::string(request.service), is_long_prefill(request)};
+    const auto rivals = loads_.rivals(work, now);
+    const slot_contention contention(self_, rivals);
+    if (work.long_prefill)
+    {
+        // A long prompt takes many engines at once: one gateway at a time.
+        return contention.may_take(contention_hash(request.service), 1,
+                                   long_prefill_turn(request.service, rivals, now));
+    }
+    for (auto& it : candidates)
+    {
+        const auto& id = it.backend->id;
+        const auto free =
+            it.backend->slots - std::min(it.load.requests, it.backend->slots);
+        const auto taken = unreported_placements_.find(id);
+        const auto taken_count =
+            taken == unreported_placements_.end() ? 0 : taken->second;
+        if (free > 0 && !unreported_releases_.contains(id) &&
+            !contention.may_take(contention_hash(id), free, loads_.turn(id, now),
+                                 taken_count))
+        {
+            it.load.requests = it.backend->slots;
+        }
+    }
+    return true;
+}
+
 std::optional<placement> dispatcher::find_placement(const placement_request& request,
                                                     steady::duration waited,
                                                     candidate_cache& cache,
                                                     time_point now)
 {
-    const auto& candidates = candidates_for(request.service, cache, now);
+    auto candidates = candidates_for(request.service, cache, now);
+    if (!yield_to_rivals(request, candidates, now))
+    {
+        return std::nullopt;
+    }
+    auto shared = request;
+    shared.gateways = loads_.live_gateways(now);
     if (!has_cells_)
     {
-        return place(request, candidates, zone_);
+        return place(shared, candidates, zone_);
     }
-    return place_in_cells(request, candidates, zone_, waited, [&](std::string_view zone) {
+    return place_in_cells(shared, candidates, zone_, waited, [&](std::string_view zone) {
         return loads_.has_digest(zone, now);
     });
 }
@@ -245,6 +323,7 @@
 void dispatcher::charge(std::string_view customer, const placement& place, time_point now)
 {
     ++load_generation_;
+    ++unreported_placements_[place.main.backend.id];
     loads_.add(place.main.backend.id, place.main.work, now);
     for (const auto& it : place.helpers)
     {
--- a/source/process/dispatcher.hpp
+++ b/source/process/dispatcher.hpp
@@ -7,6 +7,7 @@
 #include "process/backend_registry.hpp"
 #include "process/load_tracker.hpp"
 #include "process/placement.hpp"
+#include "process/slot_contention.hpp"
 
 #include <condition_variable>
 #include <list>
@@ -58,7 +59,11 @@
 class dispatcher
 {
 public:
-    explicit dispatcher(std::string zone) : zone_(std::move(zone)) {}
+    /// `zone` and `name` are those of this gateway.
+    explicit dispatcher(std::string zone, std::string_view name = {})
+        : zone_(std::move(zone)), self_(contention_hash(name))
+    {
+    }
 
     /// Places a request immediately if there is capacity and no comparable request is
     /// queued.
@@ -94,7 +99,7 @@
     /// Makes the next wait_until_report_due() return immediately.
     void request_report();
     /// Returns the load of this gateway; the sender adds the other fields.
-    [[nodiscard]] load_report_message report(time_point now) const;
+    [[nodiscard]] load_report_message report(time_point now);
     /// Returns the load of all gateways on the backend servers of this zone.
     [[nodiscard]] load_report_message digest(time_point now) const;
     /// Returns a number that changes with each placement, first event and release.
@@ -106,10 +111,24 @@
     [[nodiscard]] queue_snapshot snapshot(std::string_view service, time_point now) const;
 
 private:
+    /// A set of gateways and the time since which it is the same.
+    struct rival_set
+    {
+        std::uint64_t state = 0; ///< Combined hash of the gateways.
+        time_point since;
+    };
     /// Candidates by service. Valid until a load or the registry changes.
     using candidate_cache =
         std::map<std::string_view, std::vector<placement_candidate>, std::less<>>;
 
+    [[nodiscard]] std::vector<waiting_work> waiting_kinds() const;
+    /// Marks the slots that other waiting gateways may take first as taken. Returns
+    /// whether this gateway may take anything.
+    bool yield_to_rivals(const placement_request& request,
+                         std::vector<placement_candidate>& candidates, time_point now);
+    [[nodiscard]] std::uint64_t long_prefill_turn(std::string_view service,
+                                                  std::span<const std::uint64_t> rivals,
+                                                  time_point now);
     const std::vector<placement_candidate>&
     candidates_for(std::string_view service, candidate_cache& cache, time_point now);
     std::optional<placement> find_placement(const placement_request& request,
@@ -126,6 +145,13 @@
     std::uint64_t load_generation_ = 0;
     bool has_cells_ = false;
     std::string zone_;
+    std::uint64_t self_; ///< Hash of this gateway's name.
+    /// The gateways that last waited to place long prompts, by service.
+    std::map<std::string, rival_set, std::less<>> long_rivals_;
+    /// Requests placed at backend servers that the peers do not know of yet.
+    std::map<std::string, std::size_t, std::less<>> unreported_placements_;
+    /// Backend servers of released placements that the peers do not know of yet.
+    std::set<std::string, std::less<>> unreported_releases_;
     backend_registry registry_;
     load_tracker loads_;
     std::list<queued_request*> queue_;
--- a/source/process/forward_service.hpp
+++ b/source/process/forward_service.hpp
@@ -115,6 +115,7 @@
         placement_request wanted;
         wanted.service = service;
         wanted.priority = run.priority;
+        wanted.spread = contention_hash(run.call.request.id);
         wanted.engine =
             known != nullptr && known->engine && run.call.matched_route.runs_model
                 ? &*known->engine
--- a/source/process/gateway_directory.cpp
+++ b/source/process/gateway_directory.cpp
@@ -170,6 +170,16 @@
     return members_.size() + 1;
 }
 
+std::size_t gateway_directory::live_in_cell(time_point now) const
+{
+    const std::lock_guard lock(mutex_);
+    return 1 + static_cast<std::size_t>(std::count_if(
+                   members_.begin(), members_.end(), [&](const auto& entry) {
+                       const auto& it = entry.second;
+                       return is_current(it.heard_at, now) && in_cell(it.record.zone);
+                   }));
+}
+
 /// Returns the number of gateways of this zone that precede this one in taking on
 /// duties. Those that were never heard count if `count_unheard` is set.
 std::size_t gateway_directory::rank_in_zone(time_point now, bool count_unheard) const
@@ -256,11 +266,9 @@
     std::sort(found.begin(), found.end(), [](const auto* a, const auto* b) {
         return duty_order(*a) < duty_order(*b);
     });
-    std::vector<endpoint> list;
-    for (const auto* it : found)
-    {
-        list.push_back(it->address);
-    }
+    std::vector<endpoint> list(found.size());
+    std::transform(found.begin(), found.end(), list.begin(),
+                   [](const auto* it) { return it->address; });
     return list;
 }
 
--- a/source/process/gateway_directory.hpp
+++ b/source/process/gateway_directory.hpp
@@ -72,6 +72,8 @@
     [[nodiscard]] std::vector<endpoint> digest_receivers(time_point now) const;
     /// Returns the number of gateways, including this one.
     [[nodiscard]] std::size_t size() const;
+    /// Returns the number of live gateways of the cell, including this one.
+    [[nodiscard]] std::size_t live_in_cell(time_point now) const;
     [[nodiscard]] const gateway_record& self() const { return self_; }
 
     /// Returns whether this gateway should watch the store itself.
--- a/source/process/gateway_process.hpp
+++ b/source/process/gateway_process.hpp
@@ -176,7 +176,7 @@
         steady::now());
     table_cache configuration_rows;
     table_cache backend_rows;
-    peer_link peers(directory, state.dispatch, state.crashes);
+    peer_link peers(directory, state.dispatch, state.crashes, state.budgets);
     configuration_follower<codec> configurations(state);
     backend_follower<codec> backends(state);
     stop_flag stop;
@@ -198,7 +198,9 @@
         do
         {
             state.dispatch.set_cells(directory.has_cells());
-            state.budgets.set_gateway_count(directory.size());
+            const auto now = steady::now();
+            state.budgets.set_gateway_count(directory.size(), now);
+            state.budgets.set_live_gateways(directory.live_in_cell(now), now);
         } while (!stop.wait_for(fleet_size_interval));
     });
     task serve_relayed([&] {
--- a/source/process/load_tracker.cpp
+++ b/source/process/load_tracker.cpp
@@ -1,6 +1,11 @@
 #include "process/load_tracker.hpp"
 
+#include "process/slot_contention.hpp"
+
+#include <xxhash.h>
+
 #include <algorithm>
+#include <array>
 
 namespace pistachiopost {
 
@@ -15,6 +20,10 @@
 // it is done.
 constexpr double min_unconfirmed_share = 0.5;
 
+// Entries of backend servers that are gone are discarded beyond this number: several
+// times the servers of the largest fleet.
+constexpr std::size_t max_tracked_backends = 4'096;
+
 double remaining_prefill_ms(const backend_load& load, steady::duration elapsed)
 {
     return std::max(0.0, load.prefill_ms - float_ms(elapsed).count());
@@ -28,6 +37,14 @@
                     load.unconfirmed_prefill_ms * min_unconfirmed_share);
 }
 
+/// Returns the contribution of a sender to the state of a backend server. The remaining
+/// prefill is left out, since it changes by itself.
+std::uint64_t load_hash(std::uint64_t sender, const backend_load& load)
+{
+    const std::array<std::uint64_t, 3> key{sender, load.requests, load.memory_tokens};
+    return XXH3_64bits(key.data(), sizeof key);
+}
+
 backend_load max_load(const backend_load& a, const backend_load& b)
 {
     return {
@@ -91,22 +108,59 @@
     }
 }
 
-void load_tracker::remove_parts(const report_state& report)
+/// Replaces the loads `before` of a sender by `after`. `report` is null for the loads of
+/// this gateway itself, which only count for the state.
+void load_tracker::replace_parts(const report_state* report, std::uint64_t sender,
+                                 std::span<const reported_load> before,
+                                 std::span<const reported_load> after, time_point now)
 {
-    for (const auto& backend : report.backends)
+    std::map<std::string_view, std::uint64_t> changes;
+    for (const auto& [backend, load] : before)
+    {
+        changes[backend] ^= load_hash(sender, load);
+        auto& parts = reported_[backend].parts;
+        std::erase_if(parts,
+                      [&](const reported_part& part) { return part.report == report; });
+    }
+    for (const auto& [backend, load] : after)
     {
-        const auto it = reported_.find(backend);
-        if (it == reported_.end())
+        changes[backend] ^= load_hash(sender, load);
+        if (report != nullptr)
         {
-            continue; // listed twice in the report
+            reported_[backend].parts.push_back({report, load});
         }
-        std::erase_if(it->second,
-                      [&](const reported_part& part) { return part.report == &report; });
-        if (it->second.empty())
+    }
+    for (const auto& [backend, change] : changes)
+    {
+        if (change != 0)
         {
-            reported_.erase(it);
+            auto& it = reported_[std::string(backend)];
+            it.state ^= change;
+            it.changed_at = now;
         }
     }
+    if (reported_.size() > max_tracked_backends)
+    {
+        std::erase_if(reported_,
+                      [](const auto& entry) { return entry.second.parts.empty(); });
+    }
+}
+
+void load_tracker::mark_reported(std::uint64_t self, time_point now)
+{
+    auto loads = local_loads(now);
+    replace_parts(nullptr, self, own_report_, loads, now);
+    own_report_ = std::move(loads);
+}
+
+std::uint64_t load_tracker::turn(std::string_view backend, time_point now) const
+{
+    const auto it = reported_.find(backend);
+    if (it == reported_.end())
+    {
+        return 0;
+    }
+    return static_cast<std::uint64_t>((now - it->second.changed_at) / turn_duration);
 }
 
 void load_tracker::apply_report(const load_report_message& message, time_point now)
@@ -117,18 +171,14 @@
     {
         return;
     }
-    remove_parts(it);
+    replace_parts(&it, contention_hash(message.gateway), it.loads, message.loads, now);
     it.sender = message.gateway;
     it.boot = message.boot;
     it.sequence = message.sequence;
     it.received_at = now;
     it.is_digest = message.is_digest;
-    it.backends.clear();
-    for (const auto& [backend, load] : message.loads)
-    {
-        it.backends.push_back(backend);
-        reported_[backend].push_back({&it, load});
-    }
+    it.waiting = message.waiting;
+    it.loads = message.loads;
 }
 
 backend_load load_tracker::total_load(std::string_view backend, time_point now) const
@@ -145,7 +195,7 @@
         return sum;
     }
     backend_load digest;
-    for (const auto& [report, reported] : parts->second)
+    for (const auto& [report, reported] : parts->second.parts)
     {
         const auto age = now - report->received_at;
         if (age < peer_timeout)
@@ -168,6 +218,22 @@
            static_cast<std::size_t>(std::count_if(peers_.begin(), peers_.end(), is_live));
 }
 
+std::vector<std::uint64_t> load_tracker::rivals(const waiting_work& work,
+                                                time_point now) const
+{
+    std::vector<std::uint64_t> list;
+    for (const auto& [gateway, it] : peers_)
+    {
+        const bool waits =
+            std::find(it.waiting.begin(), it.waiting.end(), work) != it.waiting.end();
+        if (waits && now - it.received_at < peer_timeout)
+        {
+            list.push_back(contention_hash(gateway));
+        }
+    }
+    return list;
+}
+
 bool load_tracker::has_digest(std::string_view zone, time_point now) const
 {
     const auto it = digests_.find(zone);
--- a/source/process/load_tracker.hpp
+++ b/source/process/load_tracker.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "process/crash_tracker.hpp"
+#include "process/service_retry_budgets.hpp"
 #include "process/store_status.hpp"
 #include "request/time_types.hpp"
 
@@ -37,6 +38,15 @@
     bool operator==(const reported_load&) const = default;
 };
 
+/// A kind of requests that wait for capacity.
+struct waiting_work
+{
+    std::string service;
+    bool long_prefill = false;
+
+    bool operator==(const waiting_work&) const = default;
+};
+
 /// Message with which a gateway reports its load to its peers.
 struct load_report_message
 {
@@ -51,8 +61,14 @@
     store_status store;
     std::vector<reported_load> loads;
     std::vector<crash_report> crashes;
+    std::vector<retry_count> retries;  ///< Counts of the sender.
+    std::vector<waiting_work> waiting; ///< Kinds of requests in the sender's queue.
 };
 
+/// Time after which waiting gateways get another turn at capacity that none took. A
+/// placement is known to all peers within about half of it.
+inline constexpr milliseconds turn_duration{60};
+
 /// Load by backend server. Not thread-safe: the dispatcher serializes access.
 class load_tracker
 {
@@ -72,6 +88,14 @@
     [[nodiscard]] backend_load total_load(std::string_view backend, time_point now) const;
     /// Returns the number of live gateways, including this one.
     [[nodiscard]] std::size_t live_gateways(time_point now) const;
+    /// Returns the hashes of the names of live peers that wait for the same.
+    [[nodiscard]] std::vector<std::uint64_t> rivals(const waiting_work& work,
+                                                    time_point now) const;
+    /// Returns the number of turns since the reported load of a backend server changed.
+    /// It is about the same at all gateways that receive the same reports.
+    [[nodiscard]] std::uint64_t turn(std::string_view backend, time_point now) const;
+    /// Records that the local loads are being reported by the gateway with this hash.
+    void mark_reported(std::uint64_t self, time_point now);
     /// Returns whether the digest of a zone is current.
     [[nodiscard]] bool has_digest(std::string_view zone, time_point now) const;
     /// Returns the load that this gateway itself put on each backend server.
@@ -91,23 +115,33 @@
         std::uint64_t sequence = 0;
         time_point received_at;
         bool is_digest = false;
-        std::vector<std::string> backends; ///< With an entry in reported_.
+        std::vector<waiting_work> waiting;
+        std::vector<reported_load> loads;
     };
     struct reported_part
     {
         const report_state* report = nullptr;
         backend_load load;
     };
-    using backend_parts = std::vector<reported_part>;
+    /// What was reported of one backend server.
+    struct backend_reports
+    {
+        std::vector<reported_part> parts;
+        std::uint64_t state = 0; ///< Combined hash of all reported loads.
+        time_point changed_at;   ///< Last change of `state`.
+    };
 
-    void remove_parts(const report_state& report);
+    void replace_parts(const report_state* report, std::uint64_t sender,
+                       std::span<const reported_load> before,
+                       std::span<const reported_load> after, time_point now);
 
     std::map<std::string, timed_load, std::less<>> local_;
     std::map<std::string, report_state, std::less<>> peers_;   ///< By gateway.
     std::map<std::string, report_state, std::less<>> digests_; ///< By zone.
     /// By backend server. Each request sums over the few peers that use a server, not
     /// over all peers.
-    std::map<std::string, backend_parts, std::less<>> reported_;
+    std::map<std::string, backend_reports, std::less<>> reported_;
+    std::vector<reported_load> own_report_; ///< As last sent to the peers.
 };
 
 } // namespace pistachiopost
--- a/source/process/placement.cpp
+++ b/source/process/placement.cpp
@@ -22,15 +22,20 @@
 // Penalty on the fill level of a server in another availability zone: a tenth of its
 // slots outweighs the additional network latency.
 constexpr double cross_zone_fill_penalty = 0.1;
+// Servers whose fill levels differ by less are equal.
+constexpr double equal_fill_tolerance = 0.01;
 
-std::optional<placement> place_plain_call(std::span<const placement_candidate> candidates,
+std::optional<placement> place_plain_call(const placement_request& request,
+                                          std::span<const placement_candidate> candidates,
                                           std::string_view zone)
 {
-    const auto* it = min_cost_candidate(
-        candidates, has_free_slot, [&](const placement_candidate& one) {
+    const auto* it = spread_candidate(
+        candidates, has_free_slot,
+        [&](const placement_candidate& one) {
             const auto fill = static_cast<double>(one.load.requests) / one.backend->slots;
             return fill + (one.backend->zone == zone ? 0 : cross_zone_fill_penalty);
-        });
+        },
+        equal_fill_tolerance, request.spread);
     if (it == nullptr)
     {
         return std::nullopt;
@@ -118,7 +123,7 @@
                  });
     if (request.engine == nullptr)
     {
-        return place_plain_call(allowed, zone);
+        return place_plain_call(request, allowed, zone);
     }
     const auto pool = long_pool_size(allowed);
     auto result = place_prompt(request, allowed, pool, zone);
--- a/source/process/placement.hpp
+++ b/source/process/placement.hpp
@@ -28,7 +28,9 @@
     milliseconds tightest_gap{0}; ///< Smallest event gap target of all routes.
     std::uint64_t prompt_tokens = 0;
     std::uint64_t output_tokens = 0;
-    bool accept_fewer_engines = false;     ///< Set after a long time in the queue.
+    std::uint64_t spread = 0;          ///< Hash that selects among equal backend servers.
+    std::size_t gateways = 1;          ///< That place requests at the same time.
+    bool accept_fewer_engines = false; ///< Set after a long time in the queue.
     std::span<const std::string> excluded; ///< Backend servers where this request failed.
     std::span<const std::string> full; ///< Backend servers that refused a reservation.
 };
--- a/source/process/prompt_placement.cpp
+++ b/source/process/prompt_placement.cpp
@@ -32,6 +32,12 @@
 // Cost of using another availability zone, in milliseconds: two round trips and the price
 // of the traffic.
 constexpr double cross_zone_cost_ms = 10;
+// Cost of a full engine over an empty one, in milliseconds: a slot more weighs as much as
+// a fifth of a short prefill.
+constexpr double full_engine_cost_ms = 50;
+// Engines whose cost differs by less are equal, in milliseconds: two slots, or half of a
+// short prefill.
+constexpr double equal_cost_ms = 10;
 // Share of an engine's free memory that may be reserved for one prompt. The rest covers
 // requests of other gateways that have not been reported yet.
 constexpr double reservable_share = 0.85;
@@ -66,6 +72,35 @@
     return it.load.prefill_ms + pass_ms_with(request, it) + zone_cost_ms;
 }
 
+/// Returns how much each gateway's placement is affected by those that others make at the
+/// same time: 0 for a single gateway, 1 from 20 on.
+double concurrency(const placement_request& request)
+{
+    constexpr double full = 20;
+    return std::min(static_cast<double>(request.gateways - 1) / full, 1.0);
+}
+
+/// Cost of running a short prompt. The fuller an engine, the more likely its last slots
+/// are taken by others at the same time.
+double short_cost_ms(const placement_request& request, const placement_candidate& it,
+                     std::string_view zone)
+{
+    const double fill = static_cast<double>(it.load.requests) / it.backend->slots;
+    return run_cost_ms(request, it, zone) +
+           full_engine_cost_ms * concurrency(request) * fill;
+}
+
+/// Returns the engine for a short prompt; null if none has room.
+const placement_candidate* choose_short_main(const placement_request& request,
+                                             std::span<const placement_candidate> pool,
+                                             std::string_view zone)
+{
+    return spread_candidate(
+        pool, [&](const placement_candidate& it) { return has_room(request, it); },
+        [&](const placement_candidate& it) { return short_cost_ms(request, it, zone); },
+        equal_cost_ms * concurrency(request), request.spread);
+}
+
 bool is_backlogged(const placement_candidate& it)
 {
     return it.load.prefill_ms >= max_backlog_ms;
@@ -100,6 +135,10 @@
             return shared;
         }
     }
+    else if (const auto* main = choose_short_main(request, pool, zone))
+    {
+        return main;
+    }
     const bool is_long = is_long_prefill(request);
     const auto may_run = [&](const placement_candidate& it) {
         return has_free_slot(it) && (it.healthy || !is_long);
--- a/source/process/retry_budget.hpp
+++ b/source/process/retry_budget.hpp
@@ -4,6 +4,7 @@
 
 #include "request/time_types.hpp"
 
+#include <cstdint>
 #include <mutex>
 
 namespace pistachiopost {
@@ -16,10 +17,14 @@
     /// few requests can retry at all. The bucket holds at most `burst` tokens, which
     /// must cover the requests lost when one backend server fails.
     retry_budget(double share, double base_per_second, double burst, time_point now);
-    /// Adds the share of one request that is not a retry.
-    void earn(time_point now);
-    /// Takes one token; returns false if there is none.
-    bool try_spend(time_point now);
+    /// Adds the share of `requests` that are not retries.
+    void earn(time_point now, std::uint64_t requests = 1);
+    /// Takes tokens for retries that others made, down to a balance of `-max_debt`.
+    void charge(time_point now, std::uint64_t retries, double max_debt);
+    /// Changes the rate and size of the bucket; a larger one fills over time.
+    void set_rate(double base_per_second, double burst, time_point now);
+    /// Takes one token; returns false if that leaves fewer than `reserve`.
+    bool try_spend(time_point now, double reserve = 0);
 
 private:
     void refill(time_point now);
--- a/source/process/service_retry_budgets.cpp
+++ b/source/process/service_retry_budgets.cpp
@@ -1,5 +1,7 @@
 #include "process/service_retry_budgets.hpp"
 
+#include <algorithm>
+
 namespace pistachiopost {
 
 namespace {
@@ -12,13 +14,23 @@
 
 } // namespace
 
-void service_retry_budgets::set_gateway_count(std::size_t gateways)
+void service_retry_budgets::set_gateway_count(std::size_t gateways, time_point now)
 {
     const std::lock_guard lock(mutex_);
     if (gateways > gateways_)
     {
         gateways_ = gateways;
-        budgets_.clear(); // recreated with smaller shares
+        apply_rates(now);
+    }
+}
+
+void service_retry_budgets::set_live_gateways(std::size_t gateways, time_point now)
+{
+    const std::lock_guard lock(mutex_);
+    if (gateways != live_gateways_)
+    {
+        live_gateways_ = gateways;
+        apply_rates(now);
     }
 }
 
@@ -35,13 +47,85 @@
 void service_retry_budgets::earn(std::string_view service, time_point now)
 {
     const std::lock_guard lock(mutex_);
+    ++own_count(service).requests;
     budget_for(service, now).earn(now);
 }
 
 bool service_retry_budgets::try_spend(std::string_view service, time_point now)
 {
     const std::lock_guard lock(mutex_);
-    return budget_for(service, now).try_spend(now);
+    // Until a retry is reported, all others may make one as well.
+    auto& count = own_count(service);
+    auto& unreported = unreported_retries_[count.service];
+    const auto reserve = static_cast<double>(unreported * (live_gateways_ - 1));
+    if (!budget_for(service, now).try_spend(now, reserve))
+    {
+        return false;
+    }
+    ++count.retries;
+    ++unreported;
+    return true;
+}
+
+std::vector<retry_count> service_retry_budgets::take_counts()
+{
+    const std::lock_guard lock(mutex_);
+    unreported_retries_.clear();
+    std::vector<retry_count> list;
+    for (const auto& [service, it] : own_counts_)
+    {
+        list.push_back(it);
+    }
+    return list;
+}
+
+void service_retry_budgets::apply_counts(std::string_view gateway, std::uint64_t boot,
+                                         std::span<const retry_count> counts,
+                                         time_point now)
+{
+    const std::lock_guard lock(mutex_);
+    auto peer = peers_.find(gateway);
+    const bool is_new = peer == peers_.end();
+    if (is_new)
+    {
+        peer = peers_.emplace(std::string(gateway), peer_counts{}).first;
+    }
+    if (peer->second.boot != boot)
+    {
+        peer->second = {boot, {}};
+    }
+    for (const auto& it : counts)
+    {
+        auto& known = peer->second.services[it.service];
+        // The counts of a gateway heard for the first time may be old.
+        if (!is_new && it.requests >= known.requests && it.retries >= known.retries)
+        {
+            auto& budget = budget_for(it.service, now);
+            budget.earn(now, it.requests - known.requests);
+            // The bound covers a retry of every gateway at once; beyond it a wrong
+            // report would stop retries for long.
+            const auto max_debt =
+                shared_slack() / 2 + 2 * static_cast<double>(live_gateways_);
+            budget.charge(now, it.retries - known.retries, max_debt);
+        }
+        known = it;
+    }
+}
+
+double service_retry_budgets::shared_slack() const
+{
+    const auto live = std::min(live_gateways_, gateways_);
+    return limits_.slack * used_slack_share * static_cast<double>(live) /
+           static_cast<double>(gateways_);
+}
+
+void service_retry_budgets::apply_rates(time_point now)
+{
+    const double window_s = std::chrono::duration<double>(limits_.window).count();
+    for (auto& [service, it] : budgets_)
+    {
+        it.set_rate(shared_slack() / 2 / window_s, shared_slack() / 2, now);
+    }
 }
 
 retry_budget& service_retry_budgets::budget_for(std::string_view service, time_point now)
@@ -52,8 +136,7 @@
         return known->second;
     }
     // Half of the slack is burst capacity, the other half is refilled over one window.
-    const double share =
-        limits_.slack * used_slack_share / static_cast<double>(gateways_);
+    const double share = shared_slack();
     const double window_s = std::chrono::duration<double>(limits_.window).count();
     return budgets_
         .try_emplace(std::string(service), limits_.ratio * used_ratio_share,
@@ -61,4 +144,15 @@
         .first->second;
 }
 
+retry_count& service_retry_budgets::own_count(std::string_view service)
+{
+    auto it = own_counts_.find(service);
+    if (it == own_counts_.end())
+    {
+        it = own_counts_.emplace(std::string(service), retry_count{std::string(service)})
+                 .first;
+    }
+    return it->second;
+}
+
 } // namespace pistachiopost
--- a/source/process/service_retry_budgets.hpp
+++ b/source/process/service_retry_budgets.hpp
@@ -4,10 +4,13 @@
 
 #include "process/retry_budget.hpp"
 
+#include <cstdint>
 #include <map>
 #include <mutex>
+#include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace pistachiopost {
 
@@ -21,7 +24,19 @@
     bool operator==(const repeat_limits&) const = default;
 };
 
-/// This gateway's share of the limit, for each service. Thread-safe.
+/// Requests and retries of one service that a gateway has counted since its start.
+struct retry_count
+{
+    std::string service;
+    std::uint64_t requests = 0;
+    std::uint64_t retries = 0;
+
+    bool operator==(const retry_count&) const = default;
+};
+
+/// The share of the limit that this gateway and the live gateways of its cell have
+/// together, for each service. Gateways report what they use of it; with a share of its
+/// own, each of a hundred would often have less than one retry. Thread-safe.
 class service_retry_budgets
 {
 public:
@@ -29,7 +44,17 @@
 
     /// Sets the number of gateways that share the limit. The number never decreases,
     /// because an unreachable gateway may still send retries.
-    void set_gateway_count(std::size_t gateways);
+    void set_gateway_count(std::size_t gateways, time_point now);
+    /// Sets the number of gateways of the cell, including this one, that report what they
+    /// use. A gateway that hears no others is left with its own share.
+    void set_live_gateways(std::size_t gateways, time_point now);
+    /// Returns the counts to report to the other gateways of the cell. The retries so
+    /// far then count as reported.
+    [[nodiscard]] std::vector<retry_count> take_counts();
+    /// Applies the counts that a gateway of the cell reported. `boot` differs between
+    /// its processes.
+    void apply_counts(std::string_view gateway, std::uint64_t boot,
+                      std::span<const retry_count> counts, time_point now);
     /// Applies changed limits and resets the accumulated budgets.
     void set_limits(const repeat_limits& limits);
     /// Credits the budget of a service for one request.
@@ -42,11 +67,25 @@
     // current deployments and a spare one.
     static constexpr std::size_t min_gateways = 4;
 
+    /// Counts of a peer as of its last report, by service.
+    struct peer_counts
+    {
+        std::uint64_t boot = 0;
+        std::map<std::string, retry_count, std::less<>> services;
+    };
+
+    [[nodiscard]] double shared_slack() const;
+    void apply_rates(time_point now);
     retry_budget& budget_for(std::string_view service, time_point now);
+    retry_count& own_count(std::string_view service);
 
-    std::mutex mutex_;
+    mutable std::mutex mutex_;
     repeat_limits limits_;
     std::size_t gateways_ = min_gateways;
+    std::size_t live_gateways_ = 1; ///< In the cell.
+    std::map<std::string, retry_count, std::less<>> own_counts_;
+    std::map<std::string, std::uint64_t, std::less<>> unreported_retries_;
+    std::map<std::string, peer_counts, std::less<>> peers_;
     std::map<std::string, retry_budget, std::less<>> budgets_;
 };
 
--- a/tests/process/cell_placement_test.cpp
+++ b/tests/process/cell_placement_test.cpp
@@ -107,7 +107,7 @@
     {
         for (int i = 0; i < gateways_per_zone; ++i)
         {
-            auto& it = cells[zone].emplace_back(zone);
+            auto& it = cells[zone].emplace_back(zone, fmt::format("{}/{}", zone, i));
             it.set_cells(true);
             it.update_registry(start, [&](auto& registry) {
                 for (const auto& other : zones)
--- a/tests/process/gateway_limits_test.cpp
+++ b/tests/process/gateway_limits_test.cpp
@@ -4,6 +4,9 @@
 
 #include <criterion/criterion.h>
 
+#include <deque>
+#include <string>
+
 using namespace pistachiopost;
 
 namespace {
@@ -149,7 +152,7 @@
         for (int i = 0; i < gateways; ++i)
         {
             service_retry_budgets it({0.2, 100, seconds{10}});
-            it.set_gateway_count(static_cast<std::size_t>(gateways));
+            it.set_gateway_count(static_cast<std::size_t>(gateways), start);
             for (int n = 0; n < requests; ++n)
             {
                 const auto now = start + milliseconds{100} * n;
@@ -164,12 +167,90 @@
 Test(service_retry_budgets, number_of_gateways_never_decreases)
 {
     service_retry_budgets it({0.2, 100, seconds{10}});
-    it.set_gateway_count(60);
-    it.set_gateway_count(1);
+    it.set_gateway_count(60, start);
+    it.set_gateway_count(1, start);
     cr_assert_not(it.try_spend("plain", start),
                   "a burst of half of 60/60 is below one retry");
 }
 
+namespace {
+
+/// A cell of 20 gateways in a fleet of 100 that exchange their counts.
+struct budget_cell
+{
+    budget_cell()
+    {
+        for (int i = 0; i < 20; ++i)
+        {
+            auto& it = gateways.emplace_back(repeat_limits{0.2, 276, seconds{10}});
+            it.set_gateway_count(100, start);
+            it.set_live_gateways(20, start);
+        }
+        exchange(start); // later counts are differences to these
+    }
+
+    void exchange(time_point now)
+    {
+        std::vector<std::vector<retry_count>> counts;
+        for (auto& it : gateways)
+        {
+            counts.push_back(it.take_counts());
+        }
+        for (std::size_t to = 0; to < gateways.size(); ++to)
+        {
+            for (std::size_t from = 0; from < gateways.size(); ++from)
+            {
+                if (from != to)
+                {
+                    gateways[to].apply_counts(std::to_string(from), 1, counts[from], now);
+                }
+            }
+        }
+    }
+
+    std::deque<service_retry_budgets> gateways;
+};
+
+} // namespace
+
+Test(service_retry_budgets, gateway_of_a_large_fleet_may_retry_on_behalf_of_its_cell)
+{
+    budget_cell it;
+    cr_assert(it.gateways[0].try_spend("plain", start));
+}
+
+Test(service_retry_budgets, cell_whose_gateways_all_retry_at_once_stays_within_its_share)
+{
+    budget_cell it;
+    int spent = 0;
+    constexpr int steps = 200; // of 50 ms, one window
+    for (int i = 0; i < steps; ++i)
+    {
+        const auto now = start + milliseconds{50} * i;
+        for (auto& gateway : it.gateways)
+        {
+            for (int n = 0; n < 5; ++n)
+            {
+                spent += gateway.try_spend("plain", now) ? 1 : 0;
+            }
+        }
+        it.exchange(now);
+    }
+    cr_assert_leq(spent, 276 / 5, "%d retries without a request", spent);
+}
+
+Test(service_retry_budgets, restarted_gateway_is_charged_for_what_it_reports)
+{
+    service_retry_budgets it({0.2, 100, seconds{10}});
+    it.set_live_gateways(4, start);
+    const std::vector<retry_count> none{{"plain", 0, 0}};
+    const std::vector<retry_count> many{{"plain", 0, 100}};
+    it.apply_counts("peer", 1, none, start);
+    cr_assert(it.try_spend("plain", start));
+    it.apply_counts("peer", 2, many, start);
+    cr_assert_not(it.try_spend("plain", start));
+}
+
 Test(service_retry_budgets, services_have_separate_budgets)
 {
     service_retry_budgets it({0.2, 120, seconds{10}});
