--- a/source/connection/forward_attempt.hpp
+++ b/source/connection/forward_attempt.hpp
@@ -98,6 +98,10 @@
             stream.emplace(connect_tcp(
                 backend.address,
                 static_cast<int>(std::max(limit.count(), milliseconds::rep{1}))));
+            if (!memory_.empty())
+            {
+                stream->set_peer_timeout(lost_peer_timeout);
+            }
         }
         catch (const connection_error& it)
         {
@@ -128,6 +132,10 @@
     }
 
 private:
+    // An engine that lost power or its link is silent like one that prefills for long.
+    // The memory that others hold for the attempt must be free 4 s later; two probes in a
+    // row may be lost.
+    static constexpr milliseconds lost_peer_timeout{3'000};
     // Interval of looking at the caller's connection while an answer arrives.
     static constexpr milliseconds caller_check_interval{50};
 
--- a/source/connection/load_report_codec.cpp
+++ b/source/connection/load_report_codec.cpp
@@ -82,10 +82,10 @@
 store_status read_status(const json& from)
 {
     store_status it;
-    it.watches = from.at(0);
     it.store_failed = from.at(1);
     for (std::size_t i = 0; i < watched_table_count; ++i)
     {
+        it.watches[i] = from.at(0).at(i);
         it.changes[i] = read_count(from.at(2).at(i));
     }
     return it;
--- a/source/connection/peer_link.cpp
+++ b/source/connection/peer_link.cpp
@@ -197,6 +197,10 @@
     {
         budgets_.apply_counts(message.gateway, message.boot, message.retries, now);
     }
+    for (const auto& it : message.crashes)
+    {
+        crashes_.add(it, now);
+    }
     dispatcher_.apply_report(message, now);
 }
 
--- a/source/process/gateway_directory.cpp
+++ b/source/process/gateway_directory.cpp
@@ -3,7 +3,6 @@
 #include <xxhash.h>
 
 #include <algorithm>
-#include <functional>
 #include <tuple>
 
 namespace pistachiopost {
@@ -21,7 +20,11 @@
 // A relay that failed is not asked again for this long.
 constexpr milliseconds relay_failure_time{3'000};
 // After a failed call to the store others are preferred as relays for this long.
-constexpr milliseconds store_failure_time{5'000};
+constexpr milliseconds store_failure_time{2'000};
+// Interval of calls to a failing store by gateways that are not to watch it. Together
+// with a lost connection and a failed call it stays within the time in which
+// configurations must be in force.
+constexpr milliseconds store_retry_interval{1'000};
 // Time for the first announcements of relays after a start.
 constexpr milliseconds relay_startup_time{600};
 // A change announced by another gateway takes at most this long through a sound relay,
@@ -79,9 +82,9 @@
     it.record = sender;
     it.status = status;
     it.heard_at = now;
-    if (status.watches)
+    for (std::size_t i = 0; i < watched_table_count; ++i)
     {
-        for (std::size_t i = 0; i < watched_table_count; ++i)
+        if (status.watches[i])
         {
             note_change(static_cast<watched_table>(i), status.changes[i], now);
         }
@@ -207,7 +210,8 @@
 bool gateway_directory::may_call_store(time_point now) const
 {
     const std::lock_guard lock(mutex_);
-    return !store_failed_recently(now) || should_watch_store_locked(now);
+    return !store_failed_at_ || now - *store_failed_at_ >= store_retry_interval ||
+           should_watch_store_locked(now);
 }
 
 bool gateway_directory::should_watch_store_locked(time_point now) const
@@ -249,7 +253,7 @@
     return is_starting(now) && !should_watch_store_locked(now);
 }
 
-std::vector<endpoint> gateway_directory::relays(time_point now) const
+std::vector<endpoint> gateway_directory::relays(watched_table table, time_point now) const
 {
     const std::lock_guard lock(mutex_);
     std::vector<const gateway_record*> found;
@@ -258,7 +262,8 @@
         const bool live = is_current(it.heard_at, now);
         const bool failed =
             it.relay_failed_at && now - *it.relay_failed_at < relay_failure_time;
-        if (live && !failed && it.status.watches && it.record.zone == self_.zone)
+        if (live && !failed && it.status.watches[to_index(table)] &&
+            it.record.zone == self_.zone)
         {
             found.push_back(&it.record);
         }
@@ -288,7 +293,7 @@
                                           time_point now)
 {
     const std::lock_guard lock(mutex_);
-    watching_[to_index(table)] = succeeded;
+    own_.watches[to_index(table)] = succeeded;
     if (succeeded)
     {
         store_failed_at_.reset();
@@ -297,14 +302,12 @@
     {
         store_failed_at_ = now;
     }
-    own_.watches = std::all_of(watching_.begin(), watching_.end(), std::identity());
 }
 
 void gateway_directory::record_relayed(watched_table table)
 {
     const std::lock_guard lock(mutex_);
-    watching_[to_index(table)] = false;
-    own_.watches = false;
+    own_.watches[to_index(table)] = false;
 }
 
 void gateway_directory::record_change(watched_table table, std::uint64_t version,
--- a/source/process/gateway_directory.hpp
+++ b/source/process/gateway_directory.hpp
@@ -79,13 +79,14 @@
     /// Returns whether this gateway should watch the store itself.
     [[nodiscard]] bool should_watch_store(time_point now) const;
     /// Returns whether this gateway may call the store although it is not to watch it.
-    /// While the store fails, only those that are to watch it call it.
+    /// After a failed call it waits, so that not the whole fleet calls a failing store.
     [[nodiscard]] bool may_call_store(time_point now) const;
     /// Returns whether a gateway that is to watch the store for this zone may still
     /// announce itself after the start.
     [[nodiscard]] bool may_gain_relay(time_point now) const;
-    /// Returns the gateways that watch the store and answer for it, preferred ones first.
-    [[nodiscard]] std::vector<endpoint> relays(time_point now) const;
+    /// Returns the gateways that follow `table` at the store and answer for it, preferred
+    /// ones first.
+    [[nodiscard]] std::vector<endpoint> relays(watched_table table, time_point now) const;
     /// Records that a relay does not answer or lags behind.
     void record_relay_failure(const endpoint& relay, time_point now);
     /// Records the result of a call of this gateway to the store.
@@ -130,7 +131,6 @@
     time_point started_at_;
     std::optional<time_point> published_at_; ///< Since then the others are known.
     std::optional<time_point> store_failed_at_;
-    std::array<bool, watched_table_count> watching_{};
     store_status own_;
     std::array<announced_change, watched_table_count> newest_{};
 };
--- a/source/process/relayed_store.hpp
+++ b/source/process/relayed_store.hpp
@@ -37,7 +37,8 @@
     /// Reads all rows of the table. Throws store_error.
     row_batch read_table(std::string_view table)
     {
-        return fetch(table, 0, milliseconds{0}, [&] { return store_.read_table(table); });
+        return fetch(table, 0, milliseconds{0},
+                     [&](milliseconds) { return store_.read_table(table); });
     }
 
     /// Waits up to `wait` for changes after `since`. Throws store_error or
@@ -45,8 +46,9 @@
     row_batch wait_for_changes(std::string_view table, std::uint64_t since,
                                milliseconds wait)
     {
-        return fetch(table, since, wait,
-                     [&] { return store_.wait_for_changes(table, since, wait); });
+        return fetch(table, since, wait, [&](milliseconds limit) {
+            return store_.wait_for_changes(table, since, limit);
+        });
     }
 
 private:
@@ -78,16 +80,19 @@
         {
             throw store_error("no relay of the zone answers, and the store failed");
         }
-        return ask_store(call_store);
+        return ask_store(wait, call_store);
     }
 
+    /// Calls the store. The first call does not wait: others rely on this gateway only
+    /// once the store has answered it.
     template <typename Call>
-    row_batch ask_store(const Call& call_store)
+    row_batch ask_store(milliseconds wait, const Call& call_store)
     {
         relay_.reset();
         try
         {
-            auto batch = call_store();
+            auto batch = call_store(store_answered_ ? wait : milliseconds{0});
+            store_answered_ = true;
             cache_.set_relayed(true);
             directory_.record_store_call(id_, true, steady::now());
             return batch;
@@ -98,6 +103,7 @@
         }
         catch (const store_error&)
         {
+            store_answered_ = false;
             cache_.set_relayed(false);
             directory_.record_store_call(id_, false, steady::now());
             throw;
@@ -108,9 +114,7 @@
     std::optional<row_batch> ask_relays(std::string_view table, std::uint64_t since,
                                         milliseconds wait)
     {
-        cache_.set_relayed(false);
-        directory_.record_relayed(id_);
-        for (const auto& it : directory_.relays(steady::now()))
+        for (const auto& it : directory_.relays(id_, steady::now()))
         {
             if (!relay_ || address_ != it)
             {
@@ -123,6 +127,9 @@
                     relay_->changes(table, since, std::min(wait, max_relay_wait));
                 if (!directory_.lags(id_, std::max(batch.version, since), steady::now()))
                 {
+                    store_answered_ = false;
+                    cache_.set_relayed(false);
+                    directory_.record_relayed(id_);
                     return batch;
                 }
                 log_failure(table, "lags behind other gateways");
@@ -152,6 +159,7 @@
     table_cache& cache_;
     std::unique_ptr<Relay> relay_; ///< Connected to address_.
     endpoint address_;
+    bool store_answered_ = false; ///< To the last call, which was made to the store.
 };
 
 /// Keeps the rows that a follower receives, so that they can be relayed.
--- a/source/process/store_status.hpp
+++ b/source/process/store_status.hpp
@@ -19,7 +19,8 @@
 /// Announced by a gateway in each message to its peers.
 struct store_status
 {
-    bool watches = false;      ///< Follows all tables at the store itself.
+    /// Whether it follows the table at the store itself, by table.
+    std::array<bool, watched_table_count> watches{};
     bool store_failed = false; ///< Its last call to the store failed a short time ago.
     /// Version of the latest change that it knows, by table.
     std::array<std::uint64_t, watched_table_count> changes{};
--- /dev/null
+++ b/tests/connection/peer_link_test.cpp
@@ -0,0 +1,227 @@
+/// A dozen gateways that exchange reports over UDP on the loopback interface.
+#include "connection/load_report_codec.hpp"
+#include "connection/peer_link.hpp"
+#include "process/task.hpp"
+
+#include <criterion/criterion.h>
+#include <fmt/format.h>
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <functional>
+#include <memory>
+#include <thread>
+#include <vector>
+
+using namespace pistachiopost;
+
+namespace {
+
+/// One gateway of zone "z" with its tasks.
+class node
+{
+public:
+    explicit node(const gateway_record& self)
+        : directory(self, steady::now()), dispatch(self.zone, self.name),
+          link(directory, dispatch, crashes, budgets),
+          sender([this] { link.run_sender(stop); }),
+          receiver([this] { link.run_receiver(end.get()); })
+    {
+        const backend_record record{"i-1", "plain", {"10.0.0.1", 80}, "z", 100, false, 1};
+        dispatch.update_registry(steady::now(),
+                                 [&](auto& it) { it.upsert(record, steady::now()); });
+    }
+
+    ~node()
+    {
+        stop.set();
+        signal_event_fd(end);
+        sender.join();
+        receiver.join();
+    }
+
+    node(const node&) = delete;
+    node& operator=(const node&) = delete;
+
+    [[nodiscard]] std::uint32_t known_requests()
+    {
+        for (const auto& it : dispatch.digest(steady::now()).loads)
+        {
+            return it.load.requests;
+        }
+        return 0;
+    }
+
+    gateway_directory directory;
+    dispatcher dispatch;
+    crash_tracker crashes;
+    service_retry_budgets budgets{repeat_limits()};
+    unique_fd end = open_event_fd();
+    stop_flag stop;
+    peer_link link;
+    task sender;
+    task receiver;
+};
+
+struct peer_fixture
+{
+    peer_fixture()
+    {
+        for (std::uint16_t i = 0; i < count; ++i)
+        {
+            const auto address = fmt::format("127.77.{}.{}", 1 + getpid() % 250, 1 + i);
+            records.push_back({fmt::format("g-{}", i), {address, 7340}, "z", 0.5});
+        }
+        for (const auto& it : records)
+        {
+            nodes.push_back(std::make_unique<node>(it));
+        }
+        // Each knows only those that started before it, as from the table of gateways.
+        for (std::size_t i = 0; i < count; ++i)
+        {
+            nodes[i]->directory.add_published(std::span(records).first(i), steady::now());
+        }
+    }
+
+    /// Waits until `holds` is true for all nodes.
+    bool eventually(const std::function<bool(node&)>& holds)
+    {
+        const auto until = steady::now() + seconds{20};
+        for (auto& it : nodes)
+        {
+            while (!holds(*it))
+            {
+                if (steady::now() >= until)
+                {
+                    return false;
+                }
+                std::this_thread::sleep_for(milliseconds{5});
+            }
+        }
+        return true;
+    }
+
+    /// Sends bytes to a node from an address that is no gateway.
+    void send_foreign(std::size_t to, std::string_view bytes) const
+    {
+        const unique_fd sock(::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0));
+        const auto addr = to_sockaddr(records[to].address);
+        cr_assert_geq(::sendto(sock.get(), bytes.data(), bytes.size(), 0,
+                               reinterpret_cast<const sockaddr*>(&addr), sizeof addr),
+                      0);
+    }
+
+    static constexpr std::size_t count = 12;
+    std::vector<gateway_record> records;
+    std::vector<std::unique_ptr<node>> nodes;
+};
+
+} // namespace
+
+Test(peer_link, gateways_learn_of_later_ones_by_their_messages)
+{
+    peer_fixture it;
+    cr_assert(it.eventually(
+        [](node& one) { return one.directory.size() == peer_fixture::count; }));
+}
+
+Test(peer_link, placements_become_known_to_all_and_releases_too)
+{
+    peer_fixture it;
+    placement_request request;
+    request.service = "plain";
+    std::vector<placement> places;
+    for (auto& one : it.nodes)
+    {
+        places.push_back(*one->dispatch.try_place("ann", request, steady::now()));
+    }
+    cr_assert(it.eventually(
+        [](node& one) { return one.known_requests() == peer_fixture::count; }));
+    for (std::size_t i = 0; i < it.nodes.size(); ++i)
+    {
+        it.nodes[i]->dispatch.release(places[i], steady::now());
+    }
+    cr_assert(it.eventually([](node& one) { return one.known_requests() == 0; }));
+}
+
+Test(peer_link, request_that_crashes_backend_servers_is_blocked_at_all_gateways)
+{
+    peer_fixture it;
+    const auto now = steady::now();
+    it.nodes[0]->crashes.add({42, "i-1"}, now);
+    it.nodes[1]->crashes.add({42, "i-2"}, now);
+    it.nodes[2]->crashes.add({42, "i-3"}, now);
+    cr_assert(it.eventually(
+        [](node& one) { return one.crashes.is_blocked(42, steady::now()); }));
+}
+
+Test(peer_link, retries_of_one_gateway_use_up_the_budget_of_all)
+{
+    peer_fixture it;
+    cr_assert(it.eventually([](node& one) {
+        const auto now = steady::now();
+        one.budgets.set_gateway_count(peer_fixture::count, now);
+        one.budgets.set_live_gateways(one.directory.live_in_cell(now), now);
+        return one.directory.live_in_cell(now) == peer_fixture::count;
+    }));
+    // Known with no retries first, as after a start.
+    for (auto& one : it.nodes)
+    {
+        one->budgets.earn("plain", steady::now());
+        one->dispatch.request_report();
+    }
+    std::this_thread::sleep_for(milliseconds{700});
+    while (it.nodes[0]->budgets.try_spend("plain", steady::now()))
+    {
+        it.nodes[0]->budgets.take_counts(); // as when each retry is reported at once
+    }
+    std::this_thread::sleep_for(milliseconds{700}); // a heartbeat
+    // What is refilled meanwhile allows one retry, before it is reported.
+    int spent = 0;
+    while (it.nodes[1]->budgets.try_spend("plain", steady::now()))
+    {
+        ++spent;
+    }
+    cr_assert_leq(spent, 1);
+}
+
+Test(peer_link, malformed_datagrams_change_nothing)
+{
+    peer_fixture it;
+    for (const char* bytes : {"", "x", "\xdd\xff\xff\xff\xff", "\x91\xc0", "\x9b\x01"})
+    {
+        it.send_foreign(0, bytes);
+    }
+    cr_assert(it.eventually(
+        [](node& one) { return one.directory.size() == peer_fixture::count; }));
+    cr_assert_eq(it.nodes[0]->known_requests(), 0U);
+}
+
+Test(peer_link, late_and_repeated_reports_do_not_replace_newer_ones)
+{
+    peer_fixture it;
+    load_report_message message;
+    message.gateway = "other";
+    message.zone = "z";
+    message.boot = 1;
+    message.sequence = 2;
+    message.loads = {{"i-1", {5, 0, 0, 0}}};
+    it.send_foreign(0, encode_load_report(message));
+    while (it.nodes[0]->known_requests() != 5)
+    {
+        std::this_thread::sleep_for(milliseconds{1});
+    }
+    message.sequence = 1;
+    message.loads[0].load.requests = 9;
+    it.send_foreign(0, encode_load_report(message));
+    it.send_foreign(0, encode_load_report(message));
+    message.gateway = "third";
+    message.loads[0].load.requests = 1;
+    it.send_foreign(0, encode_load_report(message));
+    while (it.nodes[0]->known_requests() < 6)
+    {
+        std::this_thread::sleep_for(milliseconds{1});
+    }
+    cr_assert_eq(it.nodes[0]->known_requests(), 6U);
+}
