--- a/source/connection/relay_client.cpp
+++ b/source/connection/relay_client.cpp
@@ -9,9 +9,9 @@
 
 namespace {
 
-// Five hundred round trips within a zone. A relay that is slower is treated as failed:
+// Three hundred round trips within a zone. A relay that is slower is treated as failed:
 // another one or the store itself answers sooner.
-constexpr milliseconds call_timeout{500};
+constexpr milliseconds call_timeout{300};
 
 } // namespace
 
--- a/source/process/relayed_store.hpp
+++ b/source/process/relayed_store.hpp
@@ -52,9 +52,11 @@
     }
 
 private:
-    // Longest wait of one call to a relay. Bounds the time after which a relay that
-    // stopped silently is noticed.
-    static constexpr milliseconds max_relay_wait{1'000};
+    // Longest wait of one call to a relay, and relays asked before the store. Together
+    // they bound the time after which the store is called, whatever the relays do: a
+    // configuration must be in force within two seconds in the smallest deployments.
+    static constexpr milliseconds max_relay_wait{500};
+    static constexpr std::size_t max_relays_asked = 2;
     static constexpr milliseconds relay_poll_interval{25};
 
     template <typename Call>
@@ -114,7 +116,9 @@
     std::optional<row_batch> ask_relays(std::string_view table, std::uint64_t since,
                                         milliseconds wait)
     {
-        for (const auto& it : directory_.relays(id_, steady::now()))
+        auto relays = directory_.relays(id_, steady::now());
+        relays.resize(std::min(relays.size(), max_relays_asked));
+        for (const auto& it : relays)
         {
             if (!relay_ || address_ != it)
             {
--- a/tests/connection/peer_link_test.cpp
+++ b/tests/connection/peer_link_test.cpp
@@ -174,7 +174,8 @@
     std::this_thread::sleep_for(milliseconds{700});
     while (it.nodes[0]->budgets.try_spend("plain", steady::now()))
     {
-        (void)it.nodes[0]->budgets.take_counts(); // as when each retry is reported at once
+        (void)it.nodes[0]
+            ->budgets.take_counts(); // as when each retry is reported at once
     }
     std::this_thread::sleep_for(milliseconds{700}); // a heartbeat
     // What is refilled meanwhile allows one retry, before it is reported.
--- a/tests/process/relayed_store_test.cpp
+++ b/tests/process/relayed_store_test.cpp
@@ -121,6 +121,25 @@
     cr_assert_eq(it.calls.relay_calls, 2, "failed relays are not asked again at once");
 }
 
+/// After a fallback many gateways watch the store and count as relays. Each that hangs
+/// costs a timeout, while a configuration must be in force within seconds.
+Test(relayed_store, two_relays_are_asked_at_most_before_the_store)
+{
+    relayed_store_fixture it;
+    store_status status;
+    status.watches = {true, true};
+    for (std::uint16_t i = 0; i < 10; ++i)
+    {
+        it.directory.record_message({std::to_string(i), {"10.0.1.1", i}, "a", 1}, status,
+                                    steady::now());
+    }
+    it.calls.relay_answer = [](const auto&, auto) -> row_batch {
+        throw store_error("no answer in time");
+    };
+    cr_assert_eq(it.ask().version, 9U);
+    cr_assert_eq(it.calls.relay_calls, 2);
+}
+
 Test(relayed_store, relays_that_miss_an_announced_change_are_given_up)
 {
     relayed_store_fixture it;
