Names and leftovers; the relay's tests do not depend on the machine's speed

The combined hash of a backend server's load, which nothing read any more, is gone; set_relayed is set_may_relay.

--- a/source/connection/relay_client.cpp
+++ b/source/connection/relay_client.cpp
@@ -7,15 +7,10 @@
 
 namespace pistachiopost {
 
-namespace {
-
-// Three hundred round trips within a zone. A relay that is slower is treated as failed:
-// another one or the store itself answers sooner.
-constexpr milliseconds call_timeout{300};
-
-} // namespace
-
-relay_client::relay_client(endpoint relay) : http_(std::move(relay), call_timeout) {}
+relay_client::relay_client(endpoint relay, milliseconds timeout)
+    : http_(std::move(relay), timeout)
+{
+}
 
 row_batch relay_client::changes(std::string_view table, std::uint64_t since,
                                 milliseconds wait)
--- a/source/connection/relay_client.hpp
+++ b/source/connection/relay_client.hpp
@@ -14,7 +14,12 @@
 class relay_client
 {
 public:
-    explicit relay_client(endpoint relay);
+    // Three hundred round trips within a zone. A relay that is slower is treated as
+    // failed: another one or the store itself answers sooner.
+    static constexpr milliseconds default_timeout{300};
+
+    /// `timeout` bounds each call in addition to its wait.
+    explicit relay_client(endpoint relay, milliseconds timeout = default_timeout);
 
     /// Returns the changes of `table` after `since`, all rows if it is 0; waits up to
     /// `wait` for them. Throws store_error or history_compacted.
--- a/source/process/load_tracker.cpp
+++ b/source/process/load_tracker.cpp
@@ -37,7 +37,7 @@
                     load.unconfirmed_prefill_ms * min_unconfirmed_share);
 }
 
-/// Returns the contribution of a sender to the state of a backend server. The remaining
+/// Returns a hash by which a change of the reported load is recognized. The remaining
 /// prefill is left out, since it changes by itself.
 std::uint64_t load_hash(std::uint64_t sender, const backend_load& load)
 {
@@ -109,7 +109,7 @@
 }
 
 /// Replaces the loads `before` of a sender by `after`. `report` is null for the loads of
-/// this gateway itself, which only count for the state.
+/// this gateway itself, which are not added to those of the others.
 void load_tracker::replace_parts(const report_state* report, std::uint64_t sender,
                                  std::span<const reported_load> before,
                                  std::span<const reported_load> after, time_point now)
@@ -134,9 +134,7 @@
     {
         if (change != 0)
         {
-            auto& it = reported_[std::string(backend)];
-            it.state ^= change;
-            it.changed_at = now;
+            reported_[std::string(backend)].changed_at = now;
         }
     }
     if (reported_.size() > max_tracked_backends)
--- a/source/process/load_tracker.hpp
+++ b/source/process/load_tracker.hpp
@@ -127,8 +127,7 @@
     struct backend_reports
     {
         std::vector<reported_part> parts;
-        std::uint64_t state = 0; ///< Combined hash of all reported loads.
-        time_point changed_at;   ///< Last change of `state`.
+        time_point changed_at; ///< When the reported load last changed.
     };
 
     void replace_parts(const report_state* report, std::uint64_t sender,
--- a/source/process/relayed_store.hpp
+++ b/source/process/relayed_store.hpp
@@ -57,8 +57,11 @@
     // configuration must be in force within two seconds in the smallest deployments.
     static constexpr milliseconds max_relay_wait{500};
     static constexpr std::size_t max_relays_asked = 2;
+    // Interval of looking for relays at the start.
     static constexpr milliseconds relay_poll_interval{25};
 
+    /// Asks the relays unless this gateway is to watch the store. A starting gateway
+    /// waits for their first announcements.
     template <typename Call>
     row_batch fetch(std::string_view table, std::uint64_t since, milliseconds wait,
                     const Call& call_store)
@@ -95,7 +98,7 @@
         {
             auto batch = call_store(store_answered_ ? wait : milliseconds{0});
             store_answered_ = true;
-            cache_.set_relayed(true);
+            cache_.set_may_relay(true);
             directory_.record_store_call(id_, true, steady::now());
             return batch;
         }
@@ -106,7 +109,7 @@
         catch (const store_error&)
         {
             store_answered_ = false;
-            cache_.set_relayed(false);
+            cache_.set_may_relay(false);
             directory_.record_store_call(id_, false, steady::now());
             throw;
         }
@@ -132,7 +135,7 @@
                 if (!directory_.lags(id_, std::max(batch.version, since), steady::now()))
                 {
                     store_answered_ = false;
-                    cache_.set_relayed(false);
+                    cache_.set_may_relay(false);
                     directory_.record_relayed(id_);
                     return batch;
                 }
--- a/source/process/table_cache.cpp
+++ b/source/process/table_cache.cpp
@@ -62,7 +62,7 @@
     }
 }
 
-void table_cache::set_relayed(bool may_relay)
+void table_cache::set_may_relay(bool may_relay)
 {
     const std::lock_guard lock(mutex_);
     may_relay_ = may_relay;
--- a/source/process/table_cache.hpp
+++ b/source/process/table_cache.hpp
@@ -24,7 +24,7 @@
     void apply(const row_batch& changes);
     /// Sets whether the rows are followed at the store itself, so that they may be
     /// relayed.
-    void set_relayed(bool may_relay);
+    void set_may_relay(bool may_relay);
     /// Records that the store became available again after an outage.
     void record_recovery(time_point now);
 
