Replies to short calls are bounded in bytes and time

Streams are read without that limit, since their reader bounds what it keeps; the limit is no longer the largest integer.

Before: an endless body was taken up to the 1 GB at which the test's peer stops (two tests of http_call failed, 2.9 s each). After: both end below 64 MB. The tests of the head and of the deadline passed before, too.

--- a/source/connection/http_call.cpp
+++ b/source/connection/http_call.cpp
@@ -6,6 +6,13 @@
 
 namespace pistachiopost {
 
+namespace {
+
+// Eight times the largest page of the store.
+constexpr std::uint64_t max_reply_bytes = 8U << 20U;
+
+} // namespace
+
 http_reply make_call(tcp_stream& stream, std::string_view host, const http_call& call,
                      time_point until)
 {
@@ -21,10 +28,12 @@
                             call.body.size());
     }
     stream.send(text + "\r\n" + call.body, until);
-    response_reader response(call.method);
+    response_reader response(call.method, max_reply_bytes);
     while (!response.done())
     {
-        if (wait_readable(stream.fd(), -1, until) == wake_cause::timeout)
+        // A peer that always has bytes ready does not extend the deadline.
+        if (wait_readable(stream.fd(), -1, until) == wake_cause::timeout ||
+            steady::now() >= until)
         {
             throw connection_error("no answer in time");
         }
--- a/source/connection/http_reader.cpp
+++ b/source/connection/http_reader.cpp
@@ -4,7 +4,6 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
-#include <limits>
 #include <utility>
 
 namespace pistachiopost {
@@ -131,11 +130,13 @@
     http::response_parser<http::string_body> it;
 };
 
-response_reader::response_reader(std::string_view method)
+response_reader::response_reader(std::string_view method,
+                                 std::optional<std::uint64_t> max_body_bytes)
     : parser_(std::make_unique<parser>())
 {
     parser_->it.header_limit(max_response_head_bytes);
-    parser_->it.body_limit(std::numeric_limits<std::uint64_t>::max());
+    parser_->it.body_limit(
+        max_body_bytes ? boost::optional<std::uint64_t>(*max_body_bytes) : boost::none);
     parser_->it.eager(true);
     parser_->it.skip(method == "HEAD");
 }
--- a/source/connection/http_reader.hpp
+++ b/source/connection/http_reader.hpp
@@ -6,7 +6,9 @@
 #include "connection/tcp_stream.hpp"
 #include "version/route_table.hpp"
 
+#include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace pistachiopost {
@@ -48,8 +50,11 @@
 class response_reader
 {
 public:
-    /// Parses the response to a request with `method`.
-    explicit response_reader(std::string_view method);
+    /// Parses the response to a request with `method`. A body of more than
+    /// `max_body_bytes` is an error; without that limit the caller must take the body
+    /// as it arrives and bound what it keeps.
+    explicit response_reader(std::string_view method,
+                             std::optional<std::uint64_t> max_body_bytes = {});
     ~response_reader();
     response_reader(const response_reader&) = delete;
     response_reader& operator=(const response_reader&) = delete;
