No poll loop at the start of a gateway; the library's random numbers; one encoder of lists

Cause: reading the change again. A starting gateway looked for relays every 25 ms; the agent's choice of a backend server had a generator of its own; the report's codec wrote the same loop four times.

Change: it waits on a condition variable that each message of a peer signals; std::minstd_rand and the library's distributions; one encode_list().

--- a/source/connection/load_report_codec.cpp
+++ b/source/connection/load_report_codec.cpp
@@ -12,46 +12,41 @@
 
 using nlohmann::json;
 
-json encode_loads(const load_report_message& message)
+/// Returns an array of what `encode` makes of each element.
+template <typename Element, typename Encode>
+json encode_list(const std::vector<Element>& list, const Encode& encode)
 {
-    auto loads = json::array();
-    for (const auto& [backend, load] : message.loads)
+    auto array = json::array();
+    for (const auto& it : list)
     {
-        loads.push_back({backend, load.requests, load.short_requests, load.memory_tokens,
-                         static_cast<std::uint32_t>(load.prefill_ms),
-                         static_cast<std::uint32_t>(load.unconfirmed_prefill_ms)});
+        array.push_back(encode(it));
     }
-    return loads;
+    return array;
 }
 
-json encode_crashes(const load_report_message& message)
+json encode_load(const reported_load& it)
 {
-    auto crashes = json::array();
-    for (const auto& it : message.crashes)
-    {
-        crashes.push_back({it.fingerprint, it.backend});
-    }
-    return crashes;
+    return {it.backend,
+            it.load.requests,
+            it.load.short_requests,
+            it.load.memory_tokens,
+            static_cast<std::uint32_t>(it.load.prefill_ms),
+            static_cast<std::uint32_t>(it.load.unconfirmed_prefill_ms)};
 }
 
-json encode_retries(const load_report_message& message)
+json encode_crash(const crash_report& it)
 {
-    auto list = json::array();
-    for (const auto& it : message.retries)
-    {
-        list.push_back({it.service, it.requests, it.retries});
-    }
-    return list;
+    return json::array({it.fingerprint, it.backend});
 }
 
-json encode_waiting(const load_report_message& message)
+json encode_retries(const retry_count& it)
 {
-    auto list = json::array();
-    for (const auto& it : message.waiting)
-    {
-        list.push_back({it.service, it.long_prefill});
-    }
-    return list;
+    return {it.service, it.requests, it.retries};
+}
+
+json encode_waiting(const waiting_work& it)
+{
+    return json::array({it.service, it.long_prefill});
 }
 
 json encode_status(const store_status& status)
@@ -102,10 +97,13 @@
 
 std::string encode_load_report(const load_report_message& message)
 {
-    const auto body = json::array(
-        {message.gateway, message.boot, message.sequence, encode_loads(message),
-         encode_crashes(message), message.zone, message.cores, message.is_digest,
-         encode_status(message.store), encode_retries(message), encode_waiting(message)});
+    const auto body =
+        json::array({message.gateway, message.boot, message.sequence,
+                     encode_list(message.loads, encode_load),
+                     encode_list(message.crashes, encode_crash), message.zone,
+                     message.cores, message.is_digest, encode_status(message.store),
+                     encode_list(message.retries, encode_retries),
+                     encode_list(message.waiting, encode_waiting)});
     const auto bytes = json::to_msgpack(body);
     return {bytes.begin(), bytes.end()};
 }
--- a/source/process/backend_choice.cpp
+++ b/source/process/backend_choice.cpp
@@ -1,6 +1,7 @@
 #include "process/backend_choice.hpp"
 
 #include <algorithm>
+#include <random>
 #include <vector>
 
 namespace pistachiopost {
@@ -14,44 +15,30 @@
     return it.expected_wait + it.wait_penalty;
 }
 
-/// Linear congruential generator seeded with one random 64-bit number.
-class random_sequence
+/// Selects from `list` with equal probability.
+const candidate* pick(std::span<const candidate* const> list, std::minstd_rand& random)
 {
-public:
-    explicit random_sequence(std::uint64_t random) : state_(random) {}
-
-    std::size_t below(std::size_t bound)
-    {
-        state_ = state_ * 6364136223846793005ULL + 1442695040888963407ULL;
-        return static_cast<std::size_t>((state_ >> 33U) % bound);
-    }
-
-    bool chance(double probability)
-    {
-        constexpr std::size_t scale = 1 << 20;
-        return static_cast<double>(below(scale)) < probability * scale;
-    }
-
-private:
-    std::uint64_t state_;
-};
+    std::uniform_int_distribution<std::size_t> index(0, list.size() - 1);
+    return list[index(random)];
+}
 
 /// Drops recently started servers with probability 1 - ramp, so that their load rises
 /// gradually.
 std::vector<const candidate*> skip_ramping(std::span<const candidate> list,
-                                           random_sequence& random)
+                                           std::minstd_rand& random)
 {
     std::vector<const candidate*> eligible;
     for (const auto& it : list)
     {
-        if (it.ramp >= 1 || random.chance(it.ramp))
+        if (it.ramp >= 1 || std::bernoulli_distribution(it.ramp)(random))
         {
             eligible.push_back(&it);
         }
     }
     if (eligible.empty())
     {
-        eligible.push_back(&list[random.below(list.size())]);
+        std::uniform_int_distribution<std::size_t> index(0, list.size() - 1);
+        eligible.push_back(&list[index(random)]);
     }
     return eligible;
 }
@@ -62,7 +49,7 @@
                                      std::string_view cached_vm, std::uint64_t random,
                                      bool compare_all)
 {
-    random_sequence numbers(random);
+    std::minstd_rand numbers(static_cast<std::minstd_rand::result_type>(random));
     auto eligible = skip_ramping(list, numbers);
     const auto lowest_penalty =
         (*std::min_element(eligible.begin(), eligible.end(), [](auto* a, auto* b) {
@@ -78,7 +65,7 @@
     {
         if (!group.empty())
         {
-            sampled.push_back(group[numbers.below(group.size())]);
+            sampled.push_back(pick(group, numbers));
         }
     }
     if (compare_all)
--- a/source/process/gateway_directory.cpp
+++ b/source/process/gateway_directory.cpp
@@ -54,6 +54,8 @@
 {
     const std::lock_guard lock(mutex_);
     published_at_ = now;
+    ++messages_;
+    changed_.notify_all();
     for (const auto& it : gateways)
     {
         if (it.name == self_.name)
@@ -77,6 +79,8 @@
     {
         return false;
     }
+    ++messages_;
+    changed_.notify_all();
     auto& it = members_[sender.name];
     const bool appeared = !is_current(it.heard_at, now);
     it.record = sender;
@@ -253,6 +257,13 @@
     return is_starting(now) && !should_watch_store_locked(now);
 }
 
+void gateway_directory::wait_for_message(milliseconds longest)
+{
+    std::unique_lock lock(mutex_);
+    changed_.wait_for(lock, longest,
+                      [this, seen = messages_] { return messages_ != seen; });
+}
+
 std::vector<endpoint> gateway_directory::relays(watched_table table, time_point now) const
 {
     const std::lock_guard lock(mutex_);
--- a/source/process/gateway_directory.hpp
+++ b/source/process/gateway_directory.hpp
@@ -13,6 +13,7 @@
 #include "request/time_types.hpp"
 
 #include <array>
+#include <condition_variable>
 #include <cstdint>
 #include <map>
 #include <mutex>
@@ -84,6 +85,9 @@
     /// Returns whether a gateway that is to watch the store for this zone may still
     /// announce itself after the start.
     [[nodiscard]] bool may_gain_relay(time_point now) const;
+    /// Blocks until another gateway has sent a message or the published ones were added,
+    /// for at most `longest`.
+    void wait_for_message(milliseconds longest);
     /// Returns the gateways that follow `table` at the store and answer for it, preferred
     /// ones first.
     [[nodiscard]] std::vector<endpoint> relays(watched_table table, time_point now) const;
@@ -127,6 +131,8 @@
 
     gateway_record self_;
     mutable std::mutex mutex_;
+    std::condition_variable changed_;
+    std::uint64_t messages_ = 0; ///< Received, and lists of published gateways.
     std::map<std::string, member, std::less<>> members_; ///< Without this gateway.
     time_point started_at_;
     std::optional<time_point> published_at_; ///< Since then the others are known.
--- a/source/process/relayed_store.hpp
+++ b/source/process/relayed_store.hpp
@@ -17,7 +17,6 @@
 #include <optional>
 #include <string>
 #include <string_view>
-#include <thread>
 
 namespace pistachiopost {
 
@@ -57,8 +56,6 @@
     // configuration must be in force within two seconds in the smallest deployments.
     static constexpr milliseconds max_relay_wait{500};
     static constexpr std::size_t max_relays_asked = 2;
-    // Interval of looking for relays at the start.
-    static constexpr milliseconds relay_poll_interval{25};
 
     /// Asks the relays unless this gateway is to watch the store. A starting gateway
     /// waits for their first announcements.
@@ -79,7 +76,7 @@
             {
                 break;
             }
-            std::this_thread::sleep_for(relay_poll_interval);
+            directory_.wait_for_message(max_relay_wait);
         }
         if (!directory_.may_call_store(steady::now()))
         {
