--- a/tests/connection/http_call_test.cpp
+++ b/tests/connection/http_call_test.cpp
@@ -4,6 +4,7 @@
 
 #include "connection/http_client.hpp"
 #include "connection/status_server.hpp"
+#include "loopback.hpp"
 #include "process/task.hpp"
 
 #include <criterion/criterion.h>
@@ -29,10 +30,7 @@
 public:
     flooding_peer(const std::string& begin, const std::string& piece)
     {
-        sockaddr_in addr{};
-        socklen_t n = sizeof addr;
-        getsockname(listener_.get(), reinterpret_cast<sockaddr*>(&addr), &n);
-        address = {"127.0.0.1", ntohs(addr.sin_port)};
+        address = loopback_endpoint(listener_);
         serving_ = task([this, begin, piece] {
             std::list<task> connections;
             accept_until(listener_, stop_.get(), [&](unique_fd sock) {
--- a/tests/connection/relay_test.cpp
+++ b/tests/connection/relay_test.cpp
@@ -4,6 +4,7 @@
 #include "connection/relay_codec.hpp"
 #include "connection/relay_server.hpp"
 #include "connection/status_server.hpp"
+#include "loopback.hpp"
 #include "process/task.hpp"
 
 #include <criterion/criterion.h>
@@ -27,10 +28,7 @@
         batch.rows = {{"key", std::string("\x00\xff", 2), 4, false}};
         cache.replace(batch);
         cache.set_may_relay(true);
-        sockaddr_in addr{};
-        socklen_t n = sizeof addr;
-        getsockname(listener.get(), reinterpret_cast<sockaddr*>(&addr), &n);
-        address = {"127.0.0.1", ntohs(addr.sin_port)};
+        address = loopback_endpoint(listener);
     }
 
     ~relay_fixture()
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -3,6 +3,7 @@
 
 #include "connection/http_reader.hpp"
 #include "connection/status_server.hpp"
+#include "loopback.hpp"
 #include "process/task.hpp"
 
 #include <arpa/inet.h>
@@ -29,10 +30,7 @@
     explicit store_fixture(std::vector<std::pair<int, std::string>> answers)
         : answers_(std::move(answers)), listener_(listen_tcp({"127.0.0.1", 0}))
     {
-        sockaddr_in addr{};
-        socklen_t n = sizeof addr;
-        getsockname(listener_.get(), reinterpret_cast<sockaddr*>(&addr), &n);
-        address = {"127.0.0.1", ntohs(addr.sin_port)};
+        address = loopback_endpoint(listener_);
         serving_ = task([this] { serve(); });
     }
 
--- a/tests/process/cell_placement_test.cpp
+++ b/tests/process/cell_placement_test.cpp
@@ -13,91 +13,128 @@
 
 const time_point start{std::chrono::hours{1}};
 
-/// Two zones with `count` plain backend servers of two slots each.
+/// The dispatcher of a gateway in a large fleet, before two plain backend servers of two
+/// slots in each of the zones a, b and c.
 struct cell_fixture
 {
-    explicit cell_fixture(int count)
+    explicit cell_fixture(const std::string& zone = "a") : dispatch(zone, "me")
     {
         request.service = "plain";
-        for (const char* zone : {"a", "b", "c"})
-        {
-            for (int i = 0; i < count; ++i)
+        dispatch.set_cell(true, 20);
+        dispatch.update_registry(start, [&](auto& registry) {
+            for (const char* one : {"a", "b", "c"})
             {
-                records.push_back(
-                    {fmt::format("{}-{}", zone, i), "plain", {}, zone, 2, false, 1});
-                candidates.push_back({&records.back(), {}, true});
+                for (int i = 0; i < 2; ++i)
+                {
+                    registry.upsert(
+                        {fmt::format("{}-{}", one, i), "plain", {}, one, 2, false, 1},
+                        start);
+                }
             }
-        }
+        });
     }
 
-    void set_requests(std::string_view zone, std::uint32_t requests)
+    /// Takes all slots of the cell.
+    void fill_cell()
     {
-        for (auto& it : candidates)
+        for (int i = 0; i < 4; ++i)
         {
-            if (it.backend->zone == zone)
-            {
-                it.load.requests = requests;
-            }
+            cr_assert_eq(place_now(), "a");
         }
     }
 
-    std::string place_after(milliseconds waited, const is_zone_known& known) const
+    std::string place_now()
+    {
+        const auto it = dispatch.try_place("ann", request, start);
+        return it ? it->main.backend.zone : "";
+    }
+
+    /// Delivers the digest of a zone whose servers run `requests` each.
+    void send_digest(const std::string& zone, std::uint32_t requests, time_point now)
     {
-        const auto it = place_in_cells(request, candidates, "a", waited, known);
+        load_report_message it;
+        it.gateway = zone + "/0";
+        it.zone = zone;
+        it.is_digest = true;
+        it.sequence = ++sequence;
+        it.loads = {{zone + "-0", {requests}}, {zone + "-1", {requests}}};
+        dispatch.apply_report(it, now);
+    }
+
+    /// Returns the zone of the queued request; empty if it still waits.
+    std::string zone_at(time_point now)
+    {
+        const auto it = dispatch.dequeue(queued, now);
         return it ? it->main.backend.zone : "";
     }
 
     placement_request request;
-    std::list<backend_record> records;
-    std::vector<placement_candidate> candidates;
-    is_zone_known all = [](std::string_view) { return true; };
-    is_zone_known none = [](std::string_view) { return false; };
+    dispatcher dispatch;
+    std::uint64_t sequence = 0;
+    queued_request queued{"ann", request, start, start + seconds{1}, start + seconds{60}};
 };
 
 } // namespace
 
-Test(place_in_cells, request_stays_in_its_cell_while_there_is_a_slot)
+Test(cell_placement, request_stays_in_its_cell_while_there_is_a_slot)
 {
-    cell_fixture it(2);
-    it.set_requests("a", 1);
-    cr_assert_eq(it.place_after(seconds{1}, it.all), "a");
+    cell_fixture it;
+    it.send_digest("b", 0, start);
+    it.fill_cell();
 }
 
-Test(place_in_cells, request_in_a_full_cell_waits_before_it_leaves)
+Test(cell_placement, request_in_a_full_cell_waits_before_it_leaves)
 {
-    cell_fixture it(2);
-    it.set_requests("a", 2);
-    cr_assert_eq(it.place_after(milliseconds{0}, it.all), "");
-    cr_assert_neq(it.place_after(cell_patience, it.all), "");
+    cell_fixture it;
+    it.fill_cell();
+    it.dispatch.enqueue(it.queued, start);
+    it.send_digest("b", 0, start + cell_patience - milliseconds{1});
+    cr_assert_eq(it.dispatch.waiting(), 1U);
+    it.send_digest("b", 0, start + cell_patience);
+    cr_assert_eq(it.zone_at(start + cell_patience), "b");
 }
 
-Test(place_in_cells, request_leaves_for_the_least_loaded_zone)
+Test(cell_placement, request_leaves_for_the_least_loaded_zone)
 {
-    cell_fixture it(2);
-    it.set_requests("a", 2);
-    it.set_requests("b", 1);
-    cr_assert_eq(it.place_after(cell_patience, it.all), "c");
+    cell_fixture it;
+    it.fill_cell();
+    it.dispatch.enqueue(it.queued, start);
+    it.send_digest("b", 1, start + milliseconds{10});
+    it.send_digest("c", 0, start + cell_patience);
+    cr_assert_eq(it.zone_at(start + cell_patience), "c");
 }
 
-Test(place_in_cells, zones_without_a_current_digest_get_no_requests)
+Test(cell_placement, zones_without_a_current_digest_get_no_requests)
 {
-    cell_fixture it(2);
-    it.set_requests("a", 2);
-    cr_assert_eq(it.place_after(cell_patience, it.none), "");
+    cell_fixture it;
+    it.fill_cell();
+    it.dispatch.enqueue(it.queued, start);
+    it.send_digest("b", 0, start);
+    cr_assert_eq(it.zone_at(start + seconds{1}), "");
 }
 
-Test(place_in_cells, gateway_without_backend_servers_in_its_zone_uses_all)
+Test(cell_placement, gateway_without_backend_servers_in_its_zone_uses_all)
 {
-    cell_fixture it(2);
-    std::erase_if(it.candidates,
-                  [](const auto& one) { return one.backend->zone == "a"; });
-    cr_assert_neq(it.place_after(milliseconds{0}, it.none), "");
+    cell_fixture it("elsewhere");
+    cr_assert_neq(it.place_now(), "");
+}
+
+Test(cell_placement, cell_of_few_engines_shares_those_of_the_fleet)
+{
+    const engine_cost_model engine;
+    placement_request request;
+    const std::vector<placement_candidate> few(16);
+    const std::vector<placement_candidate> enough(17);
+    cr_assert(is_sufficient_cell(request, few), "a plain service");
+    request.engine = &engine;
+    cr_assert_not(is_sufficient_cell(request, few));
+    cr_assert(is_sufficient_cell(request, enough));
 }
 
 /// Plays the load of a large fleet on the dispatchers themselves: 20 gateways a zone,
 /// each with its own view, told of the others only by reports within the cell and by the
 /// digests of the other zones.
-Test(place_in_cells, fleet_of_cells_spreads_a_peak_of_one_zone_without_overload)
+Test(cell_placement, fleet_of_cells_spreads_a_peak_of_one_zone_without_overload)
 {
     constexpr int gateways_per_zone = 20;
     constexpr std::uint32_t slots = 4;
@@ -108,7 +145,7 @@
         for (int i = 0; i < gateways_per_zone; ++i)
         {
             auto& it = cells[zone].emplace_back(zone, fmt::format("{}/{}", zone, i));
-            it.set_cells(true);
+            it.set_cell(true, gateways_per_zone);
             it.update_registry(start, [&](auto& registry) {
                 for (const auto& other : zones)
                 {
--- a/tests/process/placement_test.cpp
+++ b/tests/process/placement_test.cpp
@@ -245,3 +245,58 @@
     cr_assert_not(pistachiopost::place(it.request(5'000), {}, "near").has_value());
     cr_assert_not(pistachiopost::place(it.request(500'000), {}, "near").has_value());
 }
+
+Test(placement, last_slot_of_an_engine_is_avoided_if_many_gateways_place_requests)
+{
+    // Without short requests, the last two engines are for short prompts.
+    placement_fixture it;
+    it.backends[15].zone = "near";
+    it.engines[14].load = {15, 0, 0, 0};
+    it.engines[15].load = {0, 0, 0, 20};
+    auto request = it.request(5'000);
+    const auto alone = pistachiopost::place(request, it.engines, "near");
+    cr_assert_eq(alone->main.backend.id, "i-14", "it has no prefill backlog");
+    request.gateways = 21;
+    const auto among_many = pistachiopost::place(request, it.engines, "near");
+    cr_assert_eq(among_many->main.backend.id, "i-15");
+}
+
+Test(placement, equal_engines_are_chosen_by_the_request_if_many_gateways_place_requests)
+{
+    placement_fixture it;
+    for (auto& one : it.engines)
+    {
+        one.load = {8, 8, 0, 0}; // so that most engines are for short prompts
+    }
+    std::set<std::string> alone;
+    std::set<std::string> among_many;
+    for (std::uint64_t i = 0; i < 64; ++i)
+    {
+        auto request = it.request(5'000);
+        request.spread = i * 0x9e3779b97f4a7c15ULL;
+        alone.insert(pistachiopost::place(request, it.engines, "near")->main.backend.id);
+        request.gateways = 21;
+        among_many.insert(
+            pistachiopost::place(request, it.engines, "near")->main.backend.id);
+    }
+    cr_assert_gt(among_many.size(), 3U, "%zu engines for 64 requests", among_many.size());
+    cr_assert_leq(alone.size(), among_many.size());
+}
+
+Test(placement, equal_plain_servers_are_chosen_by_the_request)
+{
+    placement_fixture it;
+    std::set<std::string> chosen;
+    for (std::uint64_t i = 0; i < 64; ++i)
+    {
+        placement_request request;
+        request.service = "plain";
+        request.spread = i * 0x9e3779b97f4a7c15ULL;
+        chosen.insert(pistachiopost::place(request, it.engines, "near")->main.backend.id);
+    }
+    cr_assert_gt(chosen.size(), 3U, "%zu of eight servers of the zone", chosen.size());
+    for (const auto& id : chosen)
+    {
+        cr_assert_eq(std::stoi(id.substr(2)) % 2, 0, "%s is in the far zone", id.c_str());
+    }
+}
--- a/tests/soak/loopback_server.hpp
+++ b/tests/soak/loopback_server.hpp
@@ -4,6 +4,7 @@
 
 #include "connection/http_reader.hpp"
 #include "connection/status_server.hpp"
+#include "loopback.hpp"
 #include "process/task.hpp"
 
 #include <arpa/inet.h>
@@ -40,13 +41,7 @@
     }
 
     /// Returns the listening address.
-    [[nodiscard]] endpoint local_endpoint() const
-    {
-        sockaddr_in addr{};
-        socklen_t n = sizeof addr;
-        getsockname(listener_.get(), reinterpret_cast<sockaddr*>(&addr), &n);
-        return {"127.0.0.1", ntohs(addr.sin_port)};
-    }
+    [[nodiscard]] endpoint local_endpoint() const { return loopback_endpoint(listener_); }
     /// Returns a descriptor that becomes readable when the server stops.
     [[nodiscard]] int stop_fd() const { return stop_.get(); }
 
