--- a/source/connection/load_report_codec.cpp
+++ b/source/connection/load_report_codec.cpp
@@ -46,7 +46,7 @@
 
 json encode_waiting(const waiting_work& it)
 {
-    return json::array({it.service, it.long_prefill, it.claims});
+    return json::array({it.service, it.long_prefill});
 }
 
 json encode_status(const store_status& status)
@@ -136,7 +136,7 @@
         }
         for (const auto& one : body.at(10))
         {
-            it.waiting.push_back({one.at(0), one.at(1), one.at(2)});
+            it.waiting.push_back({one.at(0), one.at(1)});
         }
         return it;
     }
--- a/source/connection/peer_link.cpp
+++ b/source/connection/peer_link.cpp
@@ -64,6 +64,7 @@
     {
         dispatcher_.wait_until_report_due(change_interval);
         const auto now = steady::now();
+        dispatcher_.set_cells(directory_.has_cells());
         send_report(now);
         send_digest(now);
     }
@@ -72,14 +73,12 @@
 void peer_link::send_report(time_point now)
 {
     sent_report next{dispatcher_.load_generation(), directory_.own_status(now),
-                     crashes_.recent(now),          dispatcher_.waiting_kinds(now),
-                     dispatcher_.zones_in_use(now), now};
+                     crashes_.recent(now), dispatcher_.zones_in_use(now), now};
     const bool to_all =
         directory_.is_complete() &&
         (!sent_to_all_at_ || now - *sent_to_all_at_ >= report_to_all_interval);
     const bool changed = !last_ || next.load_generation != last_->load_generation ||
-                         next.store != last_->store || next.crashes != last_->crashes ||
-                         next.waiting != last_->waiting;
+                         next.store != last_->store || next.crashes != last_->crashes;
     const bool due = changed || now - last_->sent_at >= heartbeat_interval;
     const auto newcomers = take_newcomers();
     if (!to_all && !due && newcomers.empty())
--- a/source/connection/peer_link.hpp
+++ b/source/connection/peer_link.hpp
@@ -38,7 +38,6 @@
         std::uint64_t load_generation = 0;
         store_status store;
         std::vector<crash_report> crashes;
-        std::vector<waiting_work> waiting;
         std::set<std::string, std::less<>> zones;
         time_point sent_at;
     };
--- a/source/process/backend_registry.cpp
+++ b/source/process/backend_registry.cpp
@@ -31,30 +31,43 @@
     return std::min(base_ejection_time * (1U << doublings), max_ejection_time);
 }
 
-/// Returns those of `order` that `matches` and that are not ejected, or the ejected ones
-/// if there are no others.
-template <typename Order, typename Matches>
-std::vector<eligible_backend> select_available(const Order& order, time_point now,
-                                               const Matches& matches)
+/// A backend server and its position in the common order.
+struct ranked_backend
 {
-    std::vector<eligible_backend> available;
-    std::vector<eligible_backend> ejected;
-    for (const auto* it : order)
+    std::uint64_t rank;
+    eligible_backend entry;
+};
+
+/// Sorts by rank and interleaves the availability zones, so that any contiguous part of
+/// the order contains backend servers of all zones.
+std::vector<eligible_backend> interleave_zones(std::vector<ranked_backend> list)
+{
+    const auto by_rank = [](const ranked_backend& a, const ranked_backend& b) {
+        return a.rank < b.rank;
+    };
+    std::sort(list.begin(), list.end(), by_rank);
+    std::map<std::string_view, std::size_t> zone_counts;
+    std::vector<std::pair<std::size_t, ranked_backend>> order;
+    order.reserve(list.size());
+    for (const auto& it : list)
     {
-        if (matches(*it))
-        {
-            auto& list = it->ejected_until <= now ? available : ejected;
-            list.push_back({&it->record, it->consecutive_failures == 0});
-        }
+        order.emplace_back(zone_counts[it.entry.backend->zone]++, it);
+    }
+    std::stable_sort(order.begin(), order.end(),
+                     [](const auto& a, const auto& b) { return a.first < b.first; });
+    std::vector<eligible_backend> result;
+    result.reserve(order.size());
+    for (const auto& [rank_in_zone, it] : order)
+    {
+        result.push_back(it.entry);
     }
-    return available.empty() ? ejected : available;
+    return result;
 }
 
 } // namespace
 
 void backend_registry::upsert(const backend_record& record, time_point now)
 {
-    orders_.clear();
     auto& it = backends_[record.id];
     if (it.record.start_time_ms != record.start_time_ms)
     {
@@ -78,7 +91,6 @@
         (source_recovered_at_ && now - *source_recovered_at_ < source_recovery_grace);
     if (!in_grace_period)
     {
-        orders_.clear();
         backends_.erase(it);
     }
     else if (!it->second.removal_due)
@@ -141,13 +153,9 @@
     {
         return;
     }
-    const auto removed = std::erase_if(backends_, [now](const auto& it) {
+    std::erase_if(backends_, [now](const auto& it) {
         return it.second.removal_due && now >= *it.second.removal_due;
     });
-    if (removed > 0)
-    {
-        orders_.clear();
-    }
 }
 
 void backend_registry::record_failure(std::string_view id, time_point now)
@@ -184,7 +192,6 @@
 {
     if (const auto it = backends_.find(id); it != backends_.end())
     {
-        orders_.clear();
         backends_.erase(it);
     }
 }
@@ -198,49 +205,22 @@
     }
 }
 
-/// Returns the backend servers of a service that are not leaving, by rank, with the
-/// availability zones interleaved, so that any contiguous part contains all zones.
-const backend_registry::backend_order&
-backend_registry::common_order(std::string_view service) const
+std::vector<eligible_backend> backend_registry::eligible(std::string_view service,
+                                                         time_point now) const
 {
-    if (const auto it = orders_.find(service); it != orders_.end())
-    {
-        return it->second;
-    }
-    auto& order = orders_[std::string(service)];
+    std::vector<ranked_backend> available;
+    std::vector<ranked_backend> ejected;
     for (const auto& [id, it] : backends_)
     {
-        if (it.record.service == service && !it.record.leaving)
+        if (it.record.service != service || it.record.leaving)
         {
-            order.push_back(&it);
+            continue;
         }
+        auto& list = it.ejected_until <= now ? available : ejected;
+        list.push_back({it.rank, {&it.record, it.consecutive_failures == 0}});
     }
-    std::sort(order.begin(), order.end(),
-              [](const auto* a, const auto* b) { return a->rank < b->rank; });
-    std::map<std::string_view, std::size_t> zone_counts;
-    std::map<const tracked_backend*, std::size_t> rank_in_zone;
-    for (const auto* it : order)
-    {
-        rank_in_zone[it] = zone_counts[it->record.zone]++;
-    }
-    std::stable_sort(order.begin(), order.end(), [&](const auto* a, const auto* b) {
-        return rank_in_zone[a] < rank_in_zone[b];
-    });
-    return order;
-}
-
-std::vector<eligible_backend> backend_registry::eligible(std::string_view service,
-                                                         time_point now) const
-{
-    return select_available(common_order(service), now, [](const auto&) { return true; });
-}
-
-std::vector<eligible_backend> backend_registry::eligible_in_zone(std::string_view service,
-                                                                 std::string_view zone,
-                                                                 time_point now) const
-{
-    return select_available(common_order(service), now,
-                            [zone](const auto& it) { return it.record.zone == zone; });
+    return interleave_zones(available.empty() ? std::move(ejected)
+                                              : std::move(available));
 }
 
 const backend_record* backend_registry::find(std::string_view id) const
--- a/source/process/backend_registry.hpp
+++ b/source/process/backend_registry.hpp
@@ -57,10 +57,6 @@
     /// all gateways. If all are ejected, returns the ejected ones.
     [[nodiscard]] std::vector<eligible_backend> eligible(std::string_view service,
                                                          time_point now) const;
-    /// The same for those in one availability zone.
-    [[nodiscard]] std::vector<eligible_backend> eligible_in_zone(std::string_view service,
-                                                                 std::string_view zone,
-                                                                 time_point now) const;
     /// Returns the backend server at `address`, or null if there is none.
     [[nodiscard]] const backend_record* find_by_address(std::string_view address) const;
     /// Returns the backend server `id`, or null if there is none.
@@ -79,14 +75,8 @@
         std::uint32_t consecutive_error_responses = 0;
         time_point ejected_until;
     };
-    using backend_order = std::vector<const tracked_backend*>;
-
-    [[nodiscard]] const backend_order& common_order(std::string_view service) const;
 
     std::map<std::string, tracked_backend, std::less<>> backends_;
-    /// The common order by service. Each request uses it, and it changes rarely: it is
-    /// cleared by any change of a record.
-    mutable std::map<std::string, backend_order, std::less<>> orders_;
     std::optional<time_point> source_down_since_;
     std::optional<time_point> source_recovered_at_;
 };
--- a/source/process/cell_placement.cpp
+++ b/source/process/cell_placement.cpp
@@ -70,18 +70,26 @@
 
 } // namespace
 
-bool is_sufficient_cell(const placement_request& request,
-                        std::span<const placement_candidate> own)
-{
-    return own.size() >= (request.engine != nullptr ? min_cell_engines : 1);
-}
-
-std::optional<placement>
-place_outside_cell(const placement_request& request,
-                   std::span<const placement_candidate> candidates, std::string_view zone,
-                   const is_zone_known& known)
+std::optional<placement> place_in_cells(const placement_request& request,
+                                        std::span<const placement_candidate> candidates,
+                                        std::string_view zone, steady::duration waited,
+                                        const is_zone_known& known)
 {
     const auto zones = group_by_zone(candidates);
+    const auto own = zones.find(zone);
+    const std::size_t size = own == zones.end() ? 0 : own->second.size();
+    if (size == 0 || (request.engine != nullptr && size < min_cell_engines))
+    {
+        return place(request, candidates, zone);
+    }
+    if (auto result = place(request, own->second, zone))
+    {
+        return result;
+    }
+    if (waited < cell_patience)
+    {
+        return std::nullopt;
+    }
     for (const auto* list : choose_other_zones(zones, zone, known))
     {
         if (auto result = place(request, *list, zone))
--- a/source/process/cell_placement.hpp
+++ b/source/process/cell_placement.hpp
@@ -20,19 +20,14 @@
 /// no place at once get one in the cell within this time.
 inline constexpr milliseconds cell_patience{100};
 
-/// Returns whether `own`, the candidates in the zone of this gateway, are enough for
-/// `request` to stay among them. Otherwise it shares those of the whole fleet.
-bool is_sufficient_cell(const placement_request& request,
-                        std::span<const placement_candidate> own);
-
 /// Returns whether the load of a zone is known well enough to place work there.
 using is_zone_known = std::function<bool(std::string_view zone)>;
 
-/// Places a request outside the cell of `zone`, in one of the least loaded zones for
-/// which `known` is true. Nothing if there is no capacity.
-std::optional<placement>
-place_outside_cell(const placement_request& request,
-                   std::span<const placement_candidate> candidates, std::string_view zone,
-                   const is_zone_known& known);
+/// Places a request in the cell of `zone`; if `waited` exceeds the patience, also in one
+/// of the least loaded zones for which `known` is true. Nothing if there is no capacity.
+std::optional<placement> place_in_cells(const placement_request& request,
+                                        std::span<const placement_candidate> candidates,
+                                        std::string_view zone, steady::duration waited,
+                                        const is_zone_known& known);
 
 } // namespace pistachiopost
--- a/source/process/dispatcher.cpp
+++ b/source/process/dispatcher.cpp
@@ -61,7 +61,7 @@
         return std::nullopt;
     }
     candidate_cache cache;
-    auto place = find_placement(request, steady::duration{0}, false, cache, now);
+    auto place = find_placement(request, steady::duration{0}, cache, now);
     if (place)
     {
         charge(customer, *place, now);
@@ -102,7 +102,7 @@
 {
     const std::lock_guard lock(mutex_);
     loads_.remove(place.main.backend.id, place.main.work, now);
-    turns_.record_release(place.main.backend.id);
+    unreported_releases_.insert(place.main.backend.id);
     for (const auto& it : place.helpers)
     {
         loads_.remove(it.backend.id, it.work, now);
@@ -123,11 +123,10 @@
     return queue_.size();
 }
 
-void dispatcher::set_cell(bool has_cells, std::size_t gateways)
+void dispatcher::set_cells(bool has_cells)
 {
     const std::lock_guard lock(mutex_);
     has_cells_ = has_cells;
-    cell_gateways_ = gateways;
 }
 
 void dispatcher::apply_report(const load_report_message& message, time_point now)
@@ -190,11 +189,12 @@
 load_report_message dispatcher::report(time_point now)
 {
     const std::lock_guard lock(mutex_);
-    turns_.mark_reported();
-    loads_.mark_reported(now);
+    unreported_releases_.clear();
+    unreported_placements_.clear();
+    loads_.mark_reported(self_, now);
     load_report_message it;
     it.loads = loads_.local_loads(now);
-    it.waiting = list_waiting(now);
+    it.waiting = waiting_kinds();
     return it;
 }
 
@@ -217,111 +217,113 @@
     return it;
 }
 
-std::vector<placement_candidate>
-dispatcher::candidates_for(const placement_request& request, std::string_view zone,
-                           candidate_cache& cache, time_point now)
+const std::vector<placement_candidate>&
+dispatcher::candidates_for(std::string_view service, candidate_cache& cache,
+                           time_point now)
 {
-    const auto [entry, is_new] = cache.try_emplace(std::pair(request.service, zone));
+    const auto [entry, is_new] = cache.try_emplace(service);
     if (is_new)
     {
         registry_.remove_expired(now);
-        const auto eligible =
-            zone.empty() ? registry_.eligible(request.service, now)
-                         : registry_.eligible_in_zone(request.service, zone, now);
-        entry->second.reserve(eligible.size());
-        for (const auto& it : eligible)
+        for (const auto& it : registry_.eligible(service, now))
         {
             entry->second.push_back(
                 {it.backend, loads_.total_load(it.backend->id, now), it.healthy});
         }
     }
-    auto candidates = entry->second;
-    if (!is_long_prefill(request))
-    {
-        turns_.yield_slots(request.service, loads_, candidates, now);
-    }
-    return candidates;
+    return entry->second;
 }
 
-std::vector<waiting_work> dispatcher::waiting_kinds(time_point now)
+std::vector<waiting_work> dispatcher::waiting_kinds() const
 {
-    const std::lock_guard lock(mutex_);
-    return list_waiting(now);
-}
-
-std::vector<waiting_work> dispatcher::list_waiting(time_point now)
-{
-    candidate_cache cache;
     std::vector<waiting_work> kinds;
     for (const auto* it : queue_)
     {
-        const bool is_long = is_long_prefill(*it->request_);
-        auto kind = std::find_if(kinds.begin(), kinds.end(), [&](const auto& known) {
-            return known.service == it->request_->service &&
-                   known.long_prefill == is_long;
-        });
-        if (kind == kinds.end())
+        const waiting_work one{std::string(it->request_->service),
+                               is_long_prefill(*it->request_)};
+        if (std::find(kinds.begin(), kinds.end(), one) == kinds.end())
         {
-            kind = kinds.insert(kinds.end(),
-                                {std::string(it->request_->service), is_long, false});
+            kinds.push_back(one);
         }
-        kind->claims = kind->claims || claims_engines(*it, cache, now);
     }
     return kinds;
 }
 
-bool dispatcher::claims_engines(const queued_request& queued, candidate_cache& cache,
-                                time_point now)
+/// Returns a number that is the same at all gateways that know the same rivals, and
+/// changes with them or after a turn.
+std::uint64_t dispatcher::long_prefill_turn(std::string_view service,
+                                            std::span<const std::uint64_t> rivals,
+                                            time_point now)
 {
-    const auto& request = *queued.request_;
-    return is_long_prefill(request) &&
-           is_claim_time(now - queued.arrived_, queued.target()) &&
-           fits_without_long_prompts(
-               request, candidates_for(request, own_zones(), cache, now), zone_);
+    auto state = self_;
+    for (const auto rival : rivals)
+    {
+        state ^= rival;
+    }
+    auto& known = long_rivals_[std::string(service)];
+    if (known.state != state)
+    {
+        known = {state, now};
+    }
+    return state + static_cast<std::uint64_t>((now - known.since) / turn_duration);
 }
 
-std::string_view dispatcher::own_zones() const
+bool dispatcher::yield_to_rivals(const placement_request& request,
+                                 std::vector<placement_candidate>& candidates,
+                                 time_point now)
 {
-    return has_cells_ ? std::string_view(zone_) : std::string_view();
+    const waiting_work work{std::string(request.service), is_long_prefill(request)};
+    const auto rivals = loads_.rivals(work, now);
+    const slot_contention contention(self_, rivals);
+    if (work.long_prefill)
+    {
+        // A long prompt takes many engines at once: one gateway at a time.
+        return contention.may_take(contention_hash(request.service), 1,
+                                   long_prefill_turn(request.service, rivals, now));
+    }
+    for (auto& it : candidates)
+    {
+        const auto& id = it.backend->id;
+        const auto free =
+            it.backend->slots - std::min(it.load.requests, it.backend->slots);
+        const auto taken = unreported_placements_.find(id);
+        const auto taken_count =
+            taken == unreported_placements_.end() ? 0 : taken->second;
+        if (free > 0 && !unreported_releases_.contains(id) &&
+            !contention.may_take(contention_hash(id), free, loads_.turn(id, now),
+                                 taken_count))
+        {
+            it.load.requests = it.backend->slots;
+        }
+    }
+    return true;
 }
 
 std::optional<placement> dispatcher::find_placement(const placement_request& request,
-                                                    steady::duration waited, bool claims,
+                                                    steady::duration waited,
                                                     candidate_cache& cache,
                                                     time_point now)
 {
-    constexpr std::string_view all_zones;
-    if (is_long_prefill(request) &&
-        turns_.yields_engines(request.service, claims, loads_, now))
+    auto candidates = candidates_for(request.service, cache, now);
+    if (!yield_to_rivals(request, candidates, now))
     {
         return std::nullopt;
     }
     auto shared = request;
-    shared.gateways = cell_gateways_;
-    if (has_cells_)
+    shared.gateways = loads_.live_gateways(now);
+    if (!has_cells_)
     {
-        const auto own = candidates_for(request, zone_, cache, now);
-        if (is_sufficient_cell(request, own))
-        {
-            auto result = place(shared, own, zone_);
-            if (result || waited < cell_patience)
-            {
-                return result;
-            }
-            const auto known = [&](std::string_view zone) {
-                return loads_.has_digest(zone, now);
-            };
-            return place_outside_cell(
-                shared, candidates_for(request, all_zones, cache, now), zone_, known);
-        }
+        return place(shared, candidates, zone_);
     }
-    return place(shared, candidates_for(request, all_zones, cache, now), zone_);
+    return place_in_cells(shared, candidates, zone_, waited, [&](std::string_view zone) {
+        return loads_.has_digest(zone, now);
+    });
 }
 
 void dispatcher::charge(std::string_view customer, const placement& place, time_point now)
 {
     ++load_generation_;
-    turns_.record_placement(place.main.backend.id);
+    ++unreported_placements_[place.main.backend.id];
     loads_.add(place.main.backend.id, place.main.work, now);
     for (const auto& it : place.helpers)
     {
@@ -332,20 +334,24 @@
         report_due_ = true;
         report_due_changed_.notify_one();
     }
-    auto it = served_cost_.find(customer);
+    const auto it = served_cost_.find(customer);
     if (it != served_cost_.end())
     {
-        served_levels_.erase(served_levels_.find(it->second));
+        it->second += engine_cost_ms(place);
+        return;
     }
-    else
+    // A new customer starts at the level of the least served one, so that idle time does
+    // not accumulate as credit.
+    double least = 0;
+    if (!served_cost_.empty())
     {
-        // A new customer starts at the level of the least served one, so that idle time
-        // does not accumulate as credit.
-        const double level = served_levels_.empty() ? 0 : *served_levels_.begin();
-        it = served_cost_.emplace(std::string(customer), level).first;
+        const auto by_served = [](const auto& a, const auto& b) {
+            return a.second < b.second;
+        };
+        least =
+            std::min_element(served_cost_.begin(), served_cost_.end(), by_served)->second;
     }
-    it->second += engine_cost_ms(place);
-    served_levels_.insert(it->second);
+    served_cost_.emplace(customer, least + engine_cost_ms(place));
 }
 
 double dispatcher::served_cost(std::string_view customer) const
@@ -369,7 +375,6 @@
     if (queue_.empty())
     {
         served_cost_.clear(); // without contention fairness needs no history
-        served_levels_.clear();
         return;
     }
     // Requests that can still meet their target and those whose callers are about to give
@@ -384,24 +389,13 @@
     };
     queue_.sort([&](const auto* a, const auto* b) { return key(a) < key(b); });
     candidate_cache cache;
-    const auto claim = std::find_if(queue_.begin(), queue_.end(), [&](const auto* it) {
-        return claims_engines(*it, cache, now);
-    });
-    const auto* claimant = claim == queue_.end() ? nullptr : *claim;
     for (auto it = queue_.begin(); it != queue_.end();)
     {
         auto& queued = **it;
         auto request = *queued.request_;
         request.accept_fewer_engines =
             now - queued.arrived_ >= queued.target() * relax_after_targets;
-        const bool yields = claimant != nullptr && claimant != &queued &&
-                            is_long_prefill(request) &&
-                            request.service == claimant->request_->service;
-        if (!yields)
-        {
-            queued.place_ = find_placement(request, now - queued.arrived_,
-                                           claimant == &queued, cache, now);
-        }
+        queued.place_ = find_placement(request, now - queued.arrived_, cache, now);
         if (!queued.place_)
         {
             ++it;
@@ -409,7 +403,6 @@
         }
         charge(queued.customer_, *queued.place_, now);
         cache.clear();
-        claimant = claimant == &queued ? nullptr : claimant;
         signal_event_fd(queued.wake_);
         it = queue_.erase(it);
     }
--- a/source/process/dispatcher.hpp
+++ b/source/process/dispatcher.hpp
@@ -7,7 +7,6 @@
 #include "process/backend_registry.hpp"
 #include "process/load_tracker.hpp"
 #include "process/placement.hpp"
-#include "process/placement_turns.hpp"
 #include "process/slot_contention.hpp"
 
 #include <condition_variable>
@@ -17,8 +16,6 @@
 #include <set>
 #include <string>
 #include <string_view>
-#include <utility>
-#include <vector>
 
 namespace pistachiopost {
 
@@ -32,8 +29,6 @@
                    time_point urgent_from);
 
     [[nodiscard]] const unique_fd& wake() const { return wake_; }
-    /// Returns whether it has its placement, which dequeue() returns.
-    [[nodiscard]] bool is_placed() const { return place_.has_value(); }
 
 private:
     friend class dispatcher;
@@ -66,7 +61,7 @@
 public:
     /// `zone` and `name` are those of this gateway.
     explicit dispatcher(std::string zone, std::string_view name = {})
-        : zone_(std::move(zone)), turns_(contention_hash(name))
+        : zone_(std::move(zone)), self_(contention_hash(name))
     {
     }
 
@@ -95,9 +90,8 @@
         change(registry_);
         serve_queue(now);
     }
-    /// Sets whether the fleet is divided into cells, and the number of live gateways of
-    /// the cell, including this one.
-    void set_cell(bool has_cells, std::size_t gateways);
+    /// Sets whether the fleet is divided into cells.
+    void set_cells(bool has_cells);
     /// Applies the load report of a peer.
     void apply_report(const load_report_message& message, time_point now);
     /// Blocks until a change should be reported to peers immediately, at most `longest`.
@@ -106,8 +100,6 @@
     void request_report();
     /// Returns the load of this gateway; the sender adds the other fields.
     [[nodiscard]] load_report_message report(time_point now);
-    /// Returns the kinds of requests in the queue.
-    [[nodiscard]] std::vector<waiting_work> waiting_kinds(time_point now);
     /// Returns the load of all gateways on the backend servers of this zone.
     [[nodiscard]] load_report_message digest(time_point now) const;
     /// Returns a number that changes with each placement, first event and release.
@@ -119,24 +111,28 @@
     [[nodiscard]] queue_snapshot snapshot(std::string_view service, time_point now) const;
 
 private:
-    /// Candidates by service and availability zone, which is empty for all zones. Valid
-    /// until a load or the registry changes.
-    using candidate_cache = std::map<std::pair<std::string_view, std::string_view>,
-                                     std::vector<placement_candidate>>;
-
-    /// Returns the candidates for a request, without what rivals may take first.
-    std::vector<placement_candidate> candidates_for(const placement_request& request,
-                                                    std::string_view zone,
-                                                    candidate_cache& cache,
-                                                    time_point now);
-    /// Returns whether a queued long prompt claims the engines of its service now.
-    bool claims_engines(const queued_request& queued, candidate_cache& cache,
-                        time_point now);
-    std::vector<waiting_work> list_waiting(time_point now);
-    /// Returns the zone whose backend servers this gateway uses first, empty for all.
-    [[nodiscard]] std::string_view own_zones() const;
+    /// A set of gateways and the time since which it is the same.
+    struct rival_set
+    {
+        std::uint64_t state = 0; ///< Combined hash of the gateways.
+        time_point since;
+    };
+    /// Candidates by service. Valid until a load or the registry changes.
+    using candidate_cache =
+        std::map<std::string_view, std::vector<placement_candidate>, std::less<>>;
+
+    [[nodiscard]] std::vector<waiting_work> waiting_kinds() const;
+    /// Marks the slots that other waiting gateways may take first as taken. Returns
+    /// whether this gateway may take anything.
+    bool yield_to_rivals(const placement_request& request,
+                         std::vector<placement_candidate>& candidates, time_point now);
+    [[nodiscard]] std::uint64_t long_prefill_turn(std::string_view service,
+                                                  std::span<const std::uint64_t> rivals,
+                                                  time_point now);
+    const std::vector<placement_candidate>&
+    candidates_for(std::string_view service, candidate_cache& cache, time_point now);
     std::optional<placement> find_placement(const placement_request& request,
-                                            steady::duration waited, bool claims,
+                                            steady::duration waited,
                                             candidate_cache& cache, time_point now);
     void charge(std::string_view customer, const placement& place, time_point now);
     void serve_queue(time_point now);
@@ -148,14 +144,18 @@
     bool report_due_ = false; ///< A change should be reported to peers immediately.
     std::uint64_t load_generation_ = 0;
     bool has_cells_ = false;
-    std::size_t cell_gateways_ = 1; ///< Live gateways of the cell.
     std::string zone_;
-    placement_turns turns_;
+    std::uint64_t self_; ///< Hash of this gateway's name.
+    /// The gateways that last waited to place long prompts, by service.
+    std::map<std::string, rival_set, std::less<>> long_rivals_;
+    /// Requests placed at backend servers that the peers do not know of yet.
+    std::map<std::string, std::size_t, std::less<>> unreported_placements_;
+    /// Backend servers of released placements that the peers do not know of yet.
+    std::set<std::string, std::less<>> unreported_releases_;
     backend_registry registry_;
     load_tracker loads_;
     std::list<queued_request*> queue_;
     std::map<std::string, double, std::less<>> served_cost_; ///< Engine ms by customer.
-    std::multiset<double> served_levels_; ///< All values of served_cost_.
 };
 
 } // namespace pistachiopost
--- a/source/process/gateway_process.hpp
+++ b/source/process/gateway_process.hpp
@@ -197,11 +197,10 @@
         join_fleet(store(settings.store), directory, stop);
         do
         {
+            state.dispatch.set_cells(directory.has_cells());
             const auto now = steady::now();
-            const auto live = directory.live_in_cell(now);
-            state.dispatch.set_cell(directory.has_cells(), live);
             state.budgets.set_gateway_count(directory.size(), now);
-            state.budgets.set_live_gateways(live, now);
+            state.budgets.set_live_gateways(directory.live_in_cell(now), now);
         } while (!stop.wait_for(fleet_size_interval));
     });
     task serve_relayed([&] {
--- a/source/process/load_tracker.cpp
+++ b/source/process/load_tracker.cpp
@@ -20,10 +20,6 @@
 // it is done.
 constexpr double min_unconfirmed_share = 0.5;
 
-// Time for which the report of a claim is valid: it is repeated with each heartbeat and
-// must not hold up others for long if its sender is lost.
-constexpr milliseconds claim_timeout{600};
-
 // Entries of backend servers that are gone are discarded beyond this number: several
 // times the servers of the largest fleet.
 constexpr std::size_t max_tracked_backends = 4'096;
@@ -43,9 +39,9 @@
 
 /// Returns a hash by which a change of the reported load is recognized. The remaining
 /// prefill is left out, since it changes by itself.
-std::uint64_t load_hash(const backend_load& load)
+std::uint64_t load_hash(std::uint64_t sender, const backend_load& load)
 {
-    const std::array<std::uint64_t, 2> key{load.requests, load.memory_tokens};
+    const std::array<std::uint64_t, 3> key{sender, load.requests, load.memory_tokens};
     return XXH3_64bits(key.data(), sizeof key);
 }
 
@@ -114,21 +110,21 @@
 
 /// Replaces the loads `before` of a sender by `after`. `report` is null for the loads of
 /// this gateway itself, which are not added to those of the others.
-void load_tracker::replace_parts(const report_state* report,
+void load_tracker::replace_parts(const report_state* report, std::uint64_t sender,
                                  std::span<const reported_load> before,
                                  std::span<const reported_load> after, time_point now)
 {
     std::map<std::string_view, std::uint64_t> changes;
     for (const auto& [backend, load] : before)
     {
-        changes[backend] ^= load_hash(load);
+        changes[backend] ^= load_hash(sender, load);
         auto& parts = reported_[backend].parts;
         std::erase_if(parts,
                       [&](const reported_part& part) { return part.report == report; });
     }
     for (const auto& [backend, load] : after)
     {
-        changes[backend] ^= load_hash(load);
+        changes[backend] ^= load_hash(sender, load);
         if (report != nullptr)
         {
             reported_[backend].parts.push_back({report, load});
@@ -148,10 +144,10 @@
     }
 }
 
-void load_tracker::mark_reported(time_point now)
+void load_tracker::mark_reported(std::uint64_t self, time_point now)
 {
     auto loads = local_loads(now);
-    replace_parts(nullptr, own_report_, loads, now);
+    replace_parts(nullptr, self, own_report_, loads, now);
     own_report_ = std::move(loads);
 }
 
@@ -173,21 +169,13 @@
     {
         return;
     }
-    replace_parts(&it, it.loads, message.loads, now);
+    replace_parts(&it, contention_hash(message.gateway), it.loads, message.loads, now);
     it.sender = message.gateway;
     it.boot = message.boot;
     it.sequence = message.sequence;
     it.received_at = now;
     it.is_digest = message.is_digest;
     it.waiting = message.waiting;
-    if (it.waiting.empty())
-    {
-        waiting_.erase(&it);
-    }
-    else
-    {
-        waiting_.insert(&it);
-    }
     it.loads = message.loads;
 }
 
@@ -228,41 +216,22 @@
            static_cast<std::size_t>(std::count_if(peers_.begin(), peers_.end(), is_live));
 }
 
-template <typename Matches>
-std::vector<std::uint64_t> load_tracker::waiting_peers(const Matches& matches,
-                                                       steady::duration max_age,
-                                                       time_point now) const
+std::vector<std::uint64_t> load_tracker::rivals(const waiting_work& work,
+                                                time_point now) const
 {
     std::vector<std::uint64_t> list;
-    for (const auto* it : waiting_)
+    for (const auto& [gateway, it] : peers_)
     {
-        if (now - it->received_at < max_age &&
-            std::any_of(it->waiting.begin(), it->waiting.end(), matches))
+        const bool waits =
+            std::find(it.waiting.begin(), it.waiting.end(), work) != it.waiting.end();
+        if (waits && now - it.received_at < peer_timeout)
         {
-            list.push_back(contention_hash(it->sender));
+            list.push_back(contention_hash(gateway));
         }
     }
     return list;
 }
 
-std::vector<std::uint64_t> load_tracker::rivals(const waiting_work& work,
-                                                time_point now) const
-{
-    return waiting_peers(
-        [&](const waiting_work& it) {
-            return it.service == work.service && it.long_prefill == work.long_prefill;
-        },
-        peer_timeout, now);
-}
-
-std::vector<std::uint64_t> load_tracker::claimants(std::string_view service,
-                                                   time_point now) const
-{
-    return waiting_peers(
-        [&](const waiting_work& it) { return it.claims && it.service == service; },
-        claim_timeout, now);
-}
-
 bool load_tracker::has_digest(std::string_view zone, time_point now) const
 {
     const auto it = digests_.find(zone);
--- a/source/process/load_tracker.hpp
+++ b/source/process/load_tracker.hpp
@@ -9,7 +9,6 @@
 
 #include <cstdint>
 #include <map>
-#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -44,7 +43,6 @@
 {
     std::string service;
     bool long_prefill = false;
-    bool claims = false; ///< Long prompts of others are to wait for one of these.
 
     bool operator==(const waiting_work&) const = default;
 };
@@ -93,14 +91,11 @@
     /// Returns the hashes of the names of live peers that wait for the same.
     [[nodiscard]] std::vector<std::uint64_t> rivals(const waiting_work& work,
                                                     time_point now) const;
-    /// Returns the hashes of the names of peers that claim the engines of a service.
-    [[nodiscard]] std::vector<std::uint64_t> claimants(std::string_view service,
-                                                       time_point now) const;
     /// Returns the number of turns since the reported load of a backend server changed.
     /// It is about the same at all gateways that receive the same reports.
     [[nodiscard]] std::uint64_t turn(std::string_view backend, time_point now) const;
-    /// Records that the local loads are being reported.
-    void mark_reported(time_point now);
+    /// Records that the local loads are being reported by the gateway with this hash.
+    void mark_reported(std::uint64_t self, time_point now);
     /// Returns whether the digest of a zone is current.
     [[nodiscard]] bool has_digest(std::string_view zone, time_point now) const;
     /// Returns the load that this gateway itself put on each backend server.
@@ -135,10 +130,8 @@
         time_point changed_at; ///< When the reported load last changed.
     };
 
-    template <typename Matches>
-    [[nodiscard]] std::vector<std::uint64_t>
-    waiting_peers(const Matches& matches, steady::duration max_age, time_point now) const;
-    void replace_parts(const report_state* report, std::span<const reported_load> before,
+    void replace_parts(const report_state* report, std::uint64_t sender,
+                       std::span<const reported_load> before,
                        std::span<const reported_load> after, time_point now);
 
     std::map<std::string, timed_load, std::less<>> local_;
@@ -148,8 +141,6 @@
     /// over all peers.
     std::map<std::string, backend_reports, std::less<>> reported_;
     std::vector<reported_load> own_report_; ///< As last sent to the peers.
-    /// Latest messages of the peers that wait for something: few, or none.
-    std::set<const report_state*> waiting_;
 };
 
 } // namespace pistachiopost
--- a/source/process/slot_contention.hpp
+++ b/source/process/slot_contention.hpp
@@ -58,15 +58,6 @@
                free + taken;
     }
 
-    /// Returns whether this gateway precedes all rivals at `resource`.
-    [[nodiscard]] bool is_first(std::uint64_t resource) const
-    {
-        const auto own = position(resource, self_, 0);
-        return std::all_of(rivals_.begin(), rivals_.end(), [&](std::uint64_t rival) {
-            return own < position(resource, rival, 0);
-        });
-    }
-
 private:
     static std::uint64_t position(std::uint64_t resource, std::uint64_t gateway,
                                   std::uint64_t turn)
