Failing tests: a sound backend server that is silent for 1.4 s loses its answer

One scripted engine answers with two events and stops sending for 1.4 s before the head, the first event, the second event or the end; further tests take away what a retry needs: the budget, a place at another engine, a route that may be resumed.

--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -161,7 +161,8 @@
     bool complete = false;
 };
 
-/// A gateway with the routes /stream/, /safe/, /once/ and /open/ on host a.test.
+/// A gateway with the routes /stream/, /safe/, /once/, /open/ and /fixed/ on host a.test.
+/// Streams may be resumed, but for those of /fixed/.
 struct gateway_fixture
 {
     gateway_fixture()
@@ -202,6 +203,8 @@
         };
         auto open = make_route("open", "safe", "plain");
         open["public"] = true;
+        auto fixed = make_route("fixed", "stream", "model");
+        fixed["resumable"] = false;
         const json engine{
             {"slots", 4},     {"kv-capacity", memory},  {"stride", 43},
             {"step_ms", 1.0}, {"read_per_s", 206000.0}, {"pairs_per_m", 0.1},
@@ -210,7 +213,7 @@
             {"version", version},
             {"routes", json::array({make_route("stream", "stream", "model"),
                                     make_route("safe", "safe", "plain"),
-                                    make_route("once", "unsafe", "plain"), open})},
+                                    make_route("once", "unsafe", "plain"), open, fixed})},
             {"services", json::array({json{{"name", "model"}, {"engine", engine}},
                                       json{{"name", "plain"}}})},
             {"tenants",
