Logs tell a silent attempt from a broken one, and name requests that end unanswered

Callers saw streams without an end; the logs could not tell the hypotheses apart. Cause of that gap: `attempt failed` did not say whether events had been delivered or for how long the backend server had sent nothing, and a request whose connection failed, or that found no descriptor, left one line at debug level without its id. Change: `events_begun` and `silence_ms` in `attempt failed`; `request ended` with the outcome connection_failed in place of no line.

--- a/source/connection/forward_attempt.hpp
+++ b/source/connection/forward_attempt.hpp
@@ -39,6 +39,7 @@
     std::string blamed;      ///< Address of the failed backend, if not the one called.
     int status = 0;          ///< Status of the answer, 0 if no head was received.
     bool silent = false;     ///< The backend server stopped sending.
+    milliseconds silence{0}; ///< Time without received bytes at the end of the attempt.
     bool oversized = false;  ///< The answer exceeded a limit on its bytes.
     bool broken_off = false; ///< The backend server closed or reset the connection.
     std::optional<time_point> first_event;
@@ -162,6 +163,7 @@
                             ? time_point::max()
                             : steady::now() + memory_lease<Codec>::renewal_interval;
         auto caller_checked_at = steady::now();
+        last_bytes_at_ = caller_checked_at;
         for (;;)
         {
             const auto until = std::min({event_deadline, exchange_.until, renew_at});
@@ -210,6 +212,7 @@
                 return on_timeout();
             }
             const bool open = stream.receive();
+            last_bytes_at_ = steady::now();
             answer.parse(stream);
             if (answer.has_head() && !has_head_)
             {
@@ -248,6 +251,7 @@
 
     attempt_result on_timeout()
     {
+        result_.silence = ceil_milliseconds(steady::now() - last_bytes_at_);
         if (steady::now() >= exchange_.until)
         {
             return finish(attempt_end::out_of_time, "the deadline of the request passed");
@@ -376,6 +380,7 @@
     memory_lease<Codec>& memory_;
     std::function<void()> on_first_event_;
     time_point last_event_;
+    time_point last_bytes_at_;
     attempt_result result_;
     bool has_head_ = false;
 };
--- a/source/process/forward_log.cpp
+++ b/source/process/forward_log.cpp
@@ -33,6 +33,8 @@
                {"fault", result.fault},
                {"status", to_count(static_cast<std::size_t>(result.status))},
                {"may_have_run", to_count(ran ? 1 : 0)},
+               {"events_begun", to_count(result.first_event ? 1 : 0)},
+               {"silence_ms", to_ms(result.silence)},
                {"helpers", to_count(place.helpers.size())},
                {"blamed", result.blamed}});
 }
--- a/source/process/forward_service.hpp
+++ b/source/process/forward_service.hpp
@@ -96,7 +96,16 @@
             return refuse(response, request, 502, "backend servers crash on this request",
                           "crashes_backends");
         }
-        return run_attempts(run);
+        try
+        {
+            return run_attempts(run);
+        }
+        catch (const connection_error& ex)
+        {
+            run.last_error = ex.what();
+            finish(run, "connection_failed", false);
+            throw;
+        }
     }
 
 private:
