A silent backend server keeps its request unless another one takes over

What callers saw: a stream without an end, or 504, although the backend server that answered it was sound and only sent nothing for a second or so. Cause: the limit on the pause between events (four times the route's gap, 0.9 s at least) ended the attempt, whether or not another one could follow. Where the route may not be resumed, the retry budget was spent, or no other engine had a place, the request ended with the attempt. Class of fault: a suspicion acted upon as if it were a failure. Ruled out by the tests: 0.7 s of silence and plain calls, which wait for the route's time-out, were complete before. Change: when the limit passes in silence, attempt_monitor looks for another backend server: a repeat that is allowed, a place, a retry of the budget. If it has all three, that one takes over at once, as before. A backend server that sends bytes without events is faulty, not silent, and is given up as before.

--- a/source/connection/forward_attempt.hpp
+++ b/source/connection/forward_attempt.hpp
@@ -12,9 +12,11 @@
 #include "request/forwarded_request.hpp"
 #include "version/route_table.hpp"
 
-#include <functional>
+#include <algorithm>
+#include <concepts>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace pistachiopost {
 
@@ -75,17 +77,27 @@
     byte_budget& all_answers;  ///< Held by all requests together.
 };
 
+/// Observes an attempt and decides whether it goes on while its backend server is silent.
+template <typename Observer>
+concept attempt_observer = requires(Observer it, time_point now)
+{
+    it.first_event();
+    // Returns whether another backend server takes over.
+    {
+        it.take_over(now)
+        } -> std::same_as<bool>;
+};
+
 /// Runs one attempt on the calling task. `Codec` encodes and decodes message heads.
-template <typename Codec>
+template <typename Codec, attempt_observer Observer>
 class forward_attempt
 {
 public:
     forward_attempt(exchange& it, const attempt_timeouts& timeouts,
                     const answer_limits& limits, memory_lease<Codec>& memory,
-                    std::function<void()> on_first_event)
+                    Observer& observer)
         : exchange_(it), timeouts_(timeouts), limits_(limits),
-          held_bytes_(limits.all_answers), memory_(memory),
-          on_first_event_(std::move(on_first_event))
+          held_bytes_(limits.all_answers), memory_(memory), observer_(observer)
     {
     }
 
@@ -137,6 +149,11 @@
     // The memory that others hold for the attempt must be free 4 s later; two probes in a
     // row may be lost.
     static constexpr milliseconds lost_peer_timeout{3'000};
+    // A backend server is silent if it sent nothing for this long. One that sends bytes
+    // without an event is not silent but faulty.
+    static constexpr milliseconds min_silence{250};
+    // Interval of looking for another backend server while one is silent.
+    static constexpr milliseconds take_over_interval{250};
     // Interval of looking at the caller's connection while an answer arrives.
     static constexpr milliseconds caller_check_interval{50};
 
@@ -164,6 +181,7 @@
                             : steady::now() + memory_lease<Codec>::renewal_interval;
         auto caller_checked_at = steady::now();
         last_bytes_at_ = caller_checked_at;
+        bool outwaited = false; // no other backend server took over from a silent one
         for (;;)
         {
             const auto until = std::min({event_deadline, exchange_.until, renew_at});
@@ -173,9 +191,13 @@
             if (woken == wake_cause::first)
             {
                 const auto now = steady::now();
-                if (now >= std::min(event_deadline, exchange_.until))
+                if (now >= exchange_.until || (now >= event_deadline && !is_silent(now)))
                 {
-                    return on_timeout();
+                    return on_timeout(now);
+                }
+                if (std::exchange(outwaited, false))
+                {
+                    event_deadline = now + timeouts_.event_gap;
                 }
                 if (now - caller_checked_at >= caller_check_interval)
                 {
@@ -209,7 +231,14 @@
             }
             if (woken == wake_cause::timeout)
             {
-                return on_timeout();
+                const auto now = steady::now();
+                if (!is_silent(now) || now >= exchange_.until || observer_.take_over(now))
+                {
+                    return on_timeout(now);
+                }
+                event_deadline = now + take_over_interval;
+                outwaited = true;
+                continue;
             }
             const bool open = stream.receive();
             last_bytes_at_ = steady::now();
@@ -249,10 +278,15 @@
         }
     }
 
-    attempt_result on_timeout()
+    [[nodiscard]] bool is_silent(time_point now) const
+    {
+        return now - last_bytes_at_ >= min_silence;
+    }
+
+    attempt_result on_timeout(time_point now)
     {
-        result_.silence = ceil_milliseconds(steady::now() - last_bytes_at_);
-        if (steady::now() >= exchange_.until)
+        result_.silence = ceil_milliseconds(now - last_bytes_at_);
+        if (now >= exchange_.until)
         {
             return finish(attempt_end::out_of_time, "the deadline of the request passed");
         }
@@ -328,7 +362,7 @@
         if (!result_.first_event)
         {
             result_.first_event = now;
-            on_first_event_();
+            observer_.first_event();
         }
         else
         {
@@ -378,7 +412,7 @@
     answer_limits limits_;
     budgeted_bytes held_bytes_;
     memory_lease<Codec>& memory_;
-    std::function<void()> on_first_event_;
+    Observer& observer_;
     time_point last_event_;
     time_point last_bytes_at_;
     attempt_result result_;
--- a/source/process/forward_service.hpp
+++ b/source/process/forward_service.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "connection/forward_attempt.hpp"
+#include "process/attempt_monitor.hpp"
 #include "process/forward_log.hpp"
 #include "process/gateway_state.hpp"
 #include "process/placement_guard.hpp"
@@ -136,24 +137,27 @@
             wanted.output_tokens = run.call.request.prompt->max_output_tokens;
         }
         state_.budgets.earn(service, run.arrived);
+        std::unique_ptr<placement_guard> successor;
         for (;;)
         {
             wanted.excluded = run.failed_backends;
             wanted.full = run.full_engines;
-            auto place = acquire_placement(run, wanted);
-            if (!place)
+            const auto held =
+                successor ? std::move(successor) : acquire_placement(run, wanted);
+            if (!held)
             {
                 return finish_unanswered(run);
             }
             run.queue_time = steady::now() - run.arrived;
-            placement_guard held(state_.dispatch, std::move(*place));
             memory_lease<Codec> memory;
-            auto terms = make_terms(run, held.get());
-            if (!reserve_memory(run, held.get(), memory, terms))
+            auto terms = make_terms(run, held->get());
+            if (!reserve_memory(run, held->get(), memory, terms))
             {
                 continue;
             }
-            const auto result = run_attempt(run, held, terms, memory);
+            attempt_monitor monitor(state_, run, wanted, *held);
+            const auto result = run_attempt(run, held->get(), terms, memory, monitor);
+            successor = monitor.take_successor();
             run.longest_pause = std::max(run.longest_pause, result.longest_pause);
             if (result.first_event && !run.first_event)
             {
@@ -163,10 +167,11 @@
             {
                 return finish(run, "caller_left", false);
             }
-            const bool repeat = record_result(run, held.get(), result) &&
-                                may_retry(run.call.matched_route, run.history,
-                                          steady::now(), run.call.until) &&
-                                try_spend_repeat(run, service);
+            const bool repeat =
+                record_result(run, held->get(), result) &&
+                (successor || (may_retry(run.call.matched_route, run.history,
+                                         steady::now(), run.call.until) &&
+                               try_spend_repeat(run, service)));
             if (!repeat && result.end == attempt_end::answered)
             {
                 return send_answer(run, result);
@@ -191,14 +196,23 @@
         return false;
     }
 
-    /// Waits for a placement; nothing if the caller disconnected or the wait timed out.
-    std::optional<placement> acquire_placement(forward_context& run,
-                                               const placement_request& wanted)
+    /// Waits for a placement; null if the caller disconnected or the wait timed out.
+    std::unique_ptr<placement_guard> acquire_placement(forward_context& run,
+                                                       const placement_request& wanted)
     {
-        if (auto place = state_.dispatch.try_place(run.customer, wanted, steady::now()))
+        auto place = state_.dispatch.try_place(run.customer, wanted, steady::now());
+        if (!place)
         {
-            return place;
+            place = wait_for_placement(run, wanted);
         }
+        return place
+                   ? std::make_unique<placement_guard>(state_.dispatch, std::move(*place))
+                   : nullptr;
+    }
+
+    std::optional<placement> wait_for_placement(forward_context& run,
+                                                const placement_request& wanted)
+    {
         const auto timeouts = queue_timeouts_for(run.call.matched_route);
         const auto wait_deadline =
             std::min(run.arrived + timeouts.max_wait, run.call.until);
@@ -274,10 +288,10 @@
         return true;
     }
 
-    attempt_result run_attempt(forward_context& run, placement_guard& held,
-                               forward_options& terms, memory_lease<Codec>& memory)
+    attempt_result run_attempt(forward_context& run, const placement& place,
+                               forward_options& terms, memory_lease<Codec>& memory,
+                               attempt_monitor& monitor)
     {
-        const auto& place = held.get();
         // The deadline sent is reduced by the transit time to the backend server.
         constexpr milliseconds transit_time{1};
         const auto left =
@@ -291,8 +305,8 @@
         const auto began = steady::now();
         const answer_limits limits{state_.settings.max_answer_bytes,
                                    state_.settings.max_event_bytes, state_.answer_bytes};
-        forward_attempt<Codec> attempt(run.call, timeouts, limits, memory,
-                                       [&held] { held.prefill_done(); });
+        forward_attempt<Codec, attempt_monitor> attempt(run.call, timeouts, limits,
+                                                        memory, monitor);
         auto result = attempt.run(place.main.backend, terms);
         if (result.first_event || (result.silent && result.status == 0))
         {
