A request on an idle connection is read under the limits in force when it begins

What callers saw: after a change that extended the idle time-out, a connection that could still be used was closed; after one that raised the limit on bodies, a request that was allowed got 413. Cause: the limits were taken when the connection became idle and kept until the next request had been read, whatever had come into force meanwhile. Class of fault: a value of one version used past its life. Evidence: both tests failed before: "send failed: Broken pipe" on the second request after 0.8 s with the idle time-out raised from 0.4 to 4 s, and "(read_answer(caller) .head.status) == (200) is false" for a body of 5,000 bytes after the limit had gone from 100 to 10,000. Change: read_request asks for the limits in force when the first bytes arrive, and again when the idle time-out passes; no connection is woken by a change. Other readers keep fixed limits.

--- a/source/connection/gateway_connection.hpp
+++ b/source/connection/gateway_connection.hpp
@@ -48,15 +48,17 @@
 {
     tcp_stream stream(std::move(sock));
     forward_service<Codec> service(state);
+    const auto limits_in_force = [&state] {
+        const auto table = state.routes.current();
+        return table ? table->limits() : caller_limits();
+    };
     try
     {
         for (bool keep = true; keep;)
         {
-            const auto table = state.routes.current();
-            const auto limits = table ? table->limits() : caller_limits();
             received_request request;
             const auto outcome =
-                read_request(stream, limits, state.stop_fd.get(), request);
+                read_request(stream, limits_in_force, state.stop_fd.get(), request);
             const auto now = steady::now();
             if (outcome != request_outcome::complete)
             {
--- a/source/connection/http_reader.cpp
+++ b/source/connection/http_reader.cpp
@@ -46,24 +46,45 @@
     return same_header_name(to_string(message[http::field::expect]), "100-continue");
 }
 
-/// Waits for more bytes of a request. Returns complete if bytes were received.
-request_outcome wait_for_bytes(tcp_stream& stream, bool begun, int stop_fd,
-                               time_point until)
+/// Waits for the first bytes of a request. Returns complete if there are any.
+request_outcome wait_for_request(tcp_stream& stream, const limits_source& current,
+                                 int stop_fd)
 {
-    switch (wait_readable(stream.fd(), begun ? -1 : stop_fd, until))
+    const auto idle_since = steady::now();
+    while (stream.buffered().empty())
     {
-    case wake_cause::first:
-        break;
-    case wake_cause::second:
-        return request_outcome::closed;
-    case wake_cause::timeout:
-        return begun ? request_outcome::timed_out : request_outcome::idle_timeout;
+        // A new configuration may extend the time while the connection is idle.
+        const auto until = idle_since + current().idle_timeout;
+        switch (wait_readable(stream.fd(), stop_fd, until))
+        {
+        case wake_cause::first:
+            if (!stream.receive())
+            {
+                return request_outcome::closed;
+            }
+            break;
+        case wake_cause::second:
+            return request_outcome::closed;
+        case wake_cause::timeout:
+            if (steady::now() >= idle_since + current().idle_timeout)
+            {
+                return request_outcome::idle_timeout;
+            }
+            break;
+        }
     }
-    if (stream.receive())
+    return request_outcome::complete;
+}
+
+/// Waits for more bytes of a request that has begun. Returns complete if bytes were
+/// received.
+request_outcome wait_for_bytes(tcp_stream& stream, time_point until)
+{
+    if (wait_readable(stream.fd(), -1, until) == wake_cause::timeout)
     {
-        return request_outcome::complete;
+        return request_outcome::timed_out;
     }
-    return begun ? request_outcome::truncated : request_outcome::closed;
+    return stream.receive() ? request_outcome::complete : request_outcome::truncated;
 }
 
 } // namespace
@@ -71,13 +92,25 @@
 request_outcome read_request(tcp_stream& stream, const caller_limits& limits, int stop_fd,
                              received_request& into)
 {
+    return read_request(
+        stream, [&limits] { return limits; }, stop_fd, into);
+}
+
+request_outcome read_request(tcp_stream& stream, const limits_source& current,
+                             int stop_fd, received_request& into)
+{
+    const auto begun = wait_for_request(stream, current, stop_fd);
+    if (begun != request_outcome::complete)
+    {
+        return begun;
+    }
+    const auto limits = current();
     http::request_parser<http::string_body> parser;
     parser.header_limit(limits.max_header_bytes);
     parser.body_limit(limits.max_body_bytes);
     parser.eager(true);
-    bool begun = !stream.buffered().empty();
     bool continued = false;
-    auto until = steady::now() + (begun ? limits.header_timeout : limits.idle_timeout);
+    auto until = steady::now() + limits.header_timeout;
     while (!parser.is_done())
     {
         const auto bytes = stream.buffered();
@@ -101,16 +134,11 @@
                 continued = true;
             }
         }
-        const auto outcome = wait_for_bytes(stream, begun, stop_fd, until);
+        const auto outcome = wait_for_bytes(stream, until);
         if (outcome != request_outcome::complete)
         {
             return outcome;
         }
-        if (!begun)
-        {
-            begun = true;
-            until = steady::now() + limits.header_timeout;
-        }
         if (parser.is_header_done())
         {
             until = steady::now() + limits.idle_timeout;
--- a/source/connection/http_reader.hpp
+++ b/source/connection/http_reader.hpp
@@ -7,6 +7,7 @@
 #include "version/route_table.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -40,9 +41,17 @@
     bool keep_alive = true;
 };
 
+/// Returns the limits that are in force.
+using limits_source = std::function<caller_limits()>;
+
 /// Reads one request. `stop_fd` becomes readable when the server stops; a request that
-/// has begun is still read to its end. Throws connection_error if the connection is
-/// reset.
+/// has begun is still read to its end. The limits are those in force when it begins;
+/// until then an idle connection is kept as long as the limits in force allow. Throws
+/// connection_error if the connection is reset.
+request_outcome read_request(tcp_stream& stream, const limits_source& current,
+                             int stop_fd, received_request& into);
+
+/// Reads one request under fixed limits.
 request_outcome read_request(tcp_stream& stream, const caller_limits& limits, int stop_fd,
                              received_request& into);
 
--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -184,7 +184,9 @@
         }
     }
 
-    void configure(std::uint64_t version, std::uint64_t memory = 200'000)
+    /// `limits` are those on callers, by their names on the platform.
+    void configure(std::uint64_t version, std::uint64_t memory = 200'000,
+                   const nlohmann::json& limits = nlohmann::json::object())
     {
         using nlohmann::json;
         const auto make_route = [](const char* name, const char* kind,
@@ -211,6 +213,7 @@
             {"chunk", 2048}};
         const json document{
             {"version", version},
+            {"limits", limits},
             {"routes", json::array({make_route("stream", "stream", "model"),
                                     make_route("safe", "safe", "plain"),
                                     make_route("once", "unsafe", "plain"), open, fixed})},
--- a/tests/gateway/gateway_front_test.cpp
+++ b/tests/gateway/gateway_front_test.cpp
@@ -2,10 +2,14 @@
 
 #include "process/gateway_process.hpp"
 
+#include <thread>
+
 using namespace pistachiopost;
 
 namespace {
 
+constexpr std::uint64_t engine_memory = 200'000; // tokens
+
 std::string without_key(std::string_view path)
 {
     return fmt::format("GET {} HTTP/1.1\r\nHost: a.test\r\nRequest-Id: r1\r\n\r\n", path);
@@ -147,3 +151,37 @@
     }
     cr_assert(refused);
 }
+
+Test(gateway_front,
+     idle_connection_under_an_extended_idle_timeout_serves_the_next_request)
+{
+    const scripted_backend server([](auto& stream, const auto& request) {
+        send_response(stream, request, 200, "ok");
+    });
+    gateway_fixture gateway;
+    gateway.add_backend(server, "i-1", "plain");
+    gateway.configure(2, engine_memory, {{"idle-timeout-ms", 400}});
+    auto caller = gateway.connect();
+    send_text(caller, gateway_fixture::request("/safe/x"));
+    cr_assert_eq(gateway_fixture::read_answer(caller).head.status, 200);
+    gateway.configure(3, engine_memory, {{"idle-timeout-ms", 4'000}});
+    std::this_thread::sleep_for(milliseconds{800});
+    send_text(caller, gateway_fixture::request("/safe/x"));
+    cr_assert_eq(gateway_fixture::read_answer(caller).head.status, 200);
+}
+
+Test(gateway_front, request_on_an_idle_connection_is_read_under_the_limits_in_force)
+{
+    const scripted_backend server([](auto& stream, const auto& request) {
+        send_response(stream, request, 200, "ok");
+    });
+    gateway_fixture gateway;
+    gateway.add_backend(server, "i-1", "plain");
+    gateway.configure(2, engine_memory, {{"max-body-bytes", 100}});
+    auto caller = gateway.connect();
+    send_text(caller, gateway_fixture::request("/safe/x"));
+    cr_assert_eq(gateway_fixture::read_answer(caller).head.status, 200);
+    gateway.configure(3, engine_memory, {{"max-body-bytes", 10'000}});
+    send_text(caller, gateway_fixture::request("/safe/x", {}, std::string(5'000, 'x')));
+    cr_assert_eq(gateway_fixture::read_answer(caller).head.status, 200);
+}
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -49,7 +49,8 @@
         for (const auto& [status, body] : answers_)
         {
             received_request request;
-            if (read_request(stream, {}, -1, request) != request_outcome::complete)
+            if (read_request(stream, caller_limits(), -1, request) !=
+                request_outcome::complete)
             {
                 return;
             }
--- a/tests/soak/loopback_server.hpp
+++ b/tests/soak/loopback_server.hpp
@@ -89,7 +89,8 @@
     for (bool keep = true; keep;)
     {
         received_request request;
-        if (read_request(stream, {}, stop_fd, request) != request_outcome::complete)
+        if (read_request(stream, caller_limits(), stop_fd, request) !=
+            request_outcome::complete)
         {
             return;
         }
