A request that finds no descriptor for the queue is refused, not dropped

What callers saw: the request was read and its connection was closed without an answer. Cause: a request that must queue opens an event descriptor; when the process has none left, the connection_error left the connection's task, which takes every such error for a failed connection to the caller. Class of fault: a lack of resources reported as an error of another layer. Evidence: with the limit on descriptors lowered to those in use, "(answer.head.status) == (503) is false" before, no answer at all; 503 with Retry-After now. Change: without a place in the queue the request ends as any other without a placement: refused as not run, or failed if it may have run.

--- a/source/process/forward_service.hpp
+++ b/source/process/forward_service.hpp
@@ -201,9 +201,16 @@
                                                        const placement_request& wanted)
     {
         auto place = state_.dispatch.try_place(run.customer, wanted, steady::now());
-        if (!place)
+        try
+        {
+            if (!place)
+            {
+                place = wait_for_placement(run, wanted);
+            }
+        }
+        catch (const connection_error& ex) // the process is out of descriptors
         {
-            place = wait_for_placement(run, wanted);
+            run.last_error = ex.what();
         }
         return place
                    ? std::make_unique<placement_guard>(state_.dispatch, std::move(*place))
--- a/tests/gateway/gateway_front_test.cpp
+++ b/tests/gateway/gateway_front_test.cpp
@@ -2,6 +2,8 @@
 
 #include "process/gateway_process.hpp"
 
+#include <sys/resource.h>
+
 #include <thread>
 
 using namespace pistachiopost;
@@ -185,3 +187,19 @@
     send_text(caller, gateway_fixture::request("/safe/x", {}, std::string(5'000, 'x')));
     cr_assert_eq(gateway_fixture::read_answer(caller).head.status, 200);
 }
+
+Test(gateway_front, request_that_must_queue_without_a_free_descriptor_is_refused)
+{
+    gateway_fixture gateway;
+    auto caller = gateway.connect();
+    rlimit limit{};
+    getrlimit(RLIMIT_NOFILE, &limit);
+    const auto first_free = static_cast<rlim_t>(open_event_fd().get());
+    const rlimit exhausted{first_free, limit.rlim_max};
+    setrlimit(RLIMIT_NOFILE, &exhausted);
+    send_text(caller, gateway_fixture::request("/safe/x"));
+    const auto answer = gateway_fixture::read_answer(caller);
+    setrlimit(RLIMIT_NOFILE, &limit);
+    cr_assert_eq(answer.head.status, 503);
+    cr_assert_not_null(answer.head.find("Retry-After"));
+}
