A begun stream whose retry ends in an error is closed without its end marker

What callers saw: a stream had delivered events and broke off; the next backend server answered 500. The caller received nothing more, neither the end marker nor a close: its connection stayed open for the next request, and it waited for the rest of the stream until its own timeout. Further requests on that connection would have been answered in the middle of the chunked stream.

Cause: send_answer() sends an error answer only if no response has begun, but reported the connection as reusable in both cases.

Evidence: begun_stream_whose_resumption_gets_an_error_is_closed_without_end failed before ("the connection of a broken stream must be closed", after 10.01 s of waiting).

Change: an answer that is no success ends a begun stream as broken off, and the connection is closed.

The other new tests play a resumption that is refused (503 with Not-Run), misdirected (421), holds no events, ends inside an event, finds the retry budget spent or runs into the deadline. They passed before the change.

--- a/source/process/forward_service.hpp
+++ b/source/process/forward_service.hpp
@@ -371,6 +371,10 @@
     bool send_answer(forward_context& run, const attempt_result& result)
     {
         const bool success = result.kind == answer_kind::success;
+        if (!success && run.call.response.begun())
+        {
+            return finish(run, "broken_off", false);
+        }
         if (!run.call.response.begun())
         {
             run.call.response.send_buffered(result.head, result.body);
--- a/tests/gateway/gateway_stream_test.cpp
+++ b/tests/gateway/gateway_stream_test.cpp
@@ -158,3 +158,142 @@
         cr_assert_not(it.eligible("other", steady::now()).at(0).healthy);
     });
 }
+
+namespace {
+
+/// The answer of a caller's connection and whether the gateway then closed it.
+struct ended_stream
+{
+    received_answer answer;
+    bool closed = false;
+};
+
+/// Two backend servers: the one that is asked first breaks off after one event, the other
+/// one runs `answer`.
+struct resumed_stream_fixture
+{
+    explicit resumed_stream_fixture(const scripted_backend::script& answer)
+        : script([answer](tcp_stream& stream, const received_request& request) {
+              if (request.head.find("Last-Event-Id") != nullptr)
+              {
+                  answer(stream, request);
+                  return;
+              }
+              begin_event_stream(stream, request);
+              send_chunk(stream, event(1));
+          }),
+          one(script), two(script)
+    {
+        gateway.add_backend(one, "i-1", "model");
+        gateway.add_backend(two, "i-2", "model");
+    }
+
+    ended_stream send_request()
+    {
+        auto caller = gateway.connect();
+        send_text(caller, gateway_fixture::request("/stream/x", prompt_headers(1'000)));
+        ended_stream it{gateway_fixture::read_answer(caller)};
+        it.closed = peer_closed(caller.fd());
+        return it;
+    }
+
+    void expect_broken_off()
+    {
+        const auto it = send_request();
+        cr_assert_eq(it.answer.head.status, 200);
+        cr_assert_eq(it.answer.body, event(1), "received: %s", it.answer.body.c_str());
+        cr_assert_not(it.answer.complete, "the stream must not look complete");
+        cr_assert(it.closed, "the connection of a broken stream must be closed");
+    }
+
+    scripted_backend::script script;
+    scripted_backend one;
+    scripted_backend two;
+    gateway_fixture gateway;
+};
+
+} // namespace
+
+Test(gateway_stream, begun_stream_whose_resumption_gets_an_error_is_closed_without_end)
+{
+    resumed_stream_fixture it([](tcp_stream& stream, const received_request& request) {
+        send_response(stream, request, 500, "broken");
+    });
+    it.expect_broken_off();
+}
+
+Test(gateway_stream, begun_stream_whose_resumption_is_refused_is_closed_without_end)
+{
+    resumed_stream_fixture it([](tcp_stream& stream, const received_request& request) {
+        send_text(stream, fmt::format("HTTP/1.1 503 x\r\nRequest-Id: {}\r\nNot-Run: 1\r\n"
+                                      "Content-Length: 0\r\n\r\n",
+                                      request_id_of(request)));
+    });
+    it.expect_broken_off();
+}
+
+Test(gateway_stream, begun_stream_whose_resumption_is_misdirected_is_closed_without_end)
+{
+    resumed_stream_fixture it([](tcp_stream& stream, const received_request&) {
+        send_text(stream, "HTTP/1.1 421 x\r\nContent-Length: 4\r\n\r\nelse");
+    });
+    it.expect_broken_off();
+}
+
+Test(gateway_stream, begun_stream_is_not_continued_with_a_body_that_holds_no_events)
+{
+    resumed_stream_fixture it([](tcp_stream& stream, const received_request& request) {
+        send_text(stream, fmt::format("HTTP/1.1 200 OK\r\nRequest-Id: {}\r\n"
+                                      "Response-Stamp: s\r\n"
+                                      "Content-Type: text/plain\r\n"
+                                      "Content-Length: 9\r\n\r\nan error\n",
+                                      request_id_of(request)));
+    });
+    it.expect_broken_off();
+}
+
+Test(gateway_stream, begun_stream_is_not_completed_by_an_answer_that_ends_in_an_event)
+{
+    resumed_stream_fixture it([](tcp_stream& stream, const received_request& request) {
+        send_text(stream, fmt::format("HTTP/1.1 200 OK\r\nRequest-Id: {}\r\n"
+                                      "Response-Stamp: s\r\n"
+                                      "Content-Type: text/event-stream\r\n\r\nid: 2\nda",
+                                      request_id_of(request)));
+    });
+    it.expect_broken_off();
+}
+
+Test(gateway_stream, begun_stream_is_closed_without_end_when_the_retry_budget_is_spent)
+{
+    resumed_stream_fixture it([](tcp_stream& stream, const received_request& request) {
+        send_event_stream(stream, request, 2, 2);
+    });
+    const auto now = steady::now();
+    while (it.gateway.state->budgets.try_spend("model", now))
+    {
+    }
+    it.expect_broken_off();
+}
+
+Test(gateway_stream, begun_stream_is_closed_without_end_when_the_deadline_passes)
+{
+    resumed_stream_fixture it([](tcp_stream& stream, const received_request&) {
+        wait_readable(stream.fd(), -1, steady::now() + seconds{5});
+    });
+    it.expect_broken_off();
+}
+
+Test(gateway_stream, stream_without_length_that_is_closed_after_an_event_is_complete)
+{
+    const scripted_backend server([](auto& stream, const auto& request) {
+        send_text(stream, fmt::format("HTTP/1.1 200 OK\r\nRequest-Id: {}\r\n"
+                                      "Response-Stamp: s\r\n"
+                                      "Content-Type: text/event-stream\r\n\r\n{}",
+                                      request_id_of(request), event(1)));
+    });
+    gateway_fixture gateway;
+    gateway.add_backend(server, "i-1", "model");
+    const auto answer = gateway.send_request("/stream/x", prompt_headers(1'000));
+    cr_assert(answer.complete);
+    cr_assert_eq(answer.body, event(1));
+}
