A stream without framing that closes before its first event is no success

What callers saw: a worker that crashes as it begins a stream without length or chunks closes the connection after the head. The caller got an empty stream that ended as if it were complete.

Cause: complete() took the close of such an answer as its end whenever no incomplete event was held, also when nothing had been received.

Evidence: stream_without_length_that_is_closed_before_an_event_is_retried failed before (the body was empty instead of event 1; no second attempt).

Change: an unframed stream that closes before its first event has been broken off, unless the caller had got events before, in this response or by its Last-Event-Id. The close counts as a possible crash, as does one inside an event.

--- a/source/connection/forward_attempt.hpp
+++ b/source/connection/forward_attempt.hpp
@@ -231,9 +231,10 @@
                 return finish(attempt_end::unknown,
                               "the answer exceeds the limit on bytes held in memory");
             }
-            if (answer.done() || (!open && answer.end_of_stream()))
+            if (const bool framed = answer.done();
+                framed || (!open && answer.end_of_stream()))
             {
-                return complete(answer);
+                return complete(answer, framed);
             }
             if (!open)
             {
@@ -347,7 +348,9 @@
         }
     }
 
-    attempt_result complete(response_reader& answer)
+    /// Handles the end of the answer. Without framing it is the close of the connection,
+    /// which a crash causes as well.
+    attempt_result complete(response_reader& answer, bool framed)
     {
         if (!is_stream())
         {
@@ -357,9 +360,16 @@
         }
         if (exchange_.events.has_partial())
         {
+            result_.broken_off = !framed;
             return finish(attempt_end::unknown,
                           "the stream ended in the middle of an event");
         }
+        if (!framed && !exchange_.response.begun() && !exchange_.request.last_event_id)
+        {
+            result_.broken_off = true;
+            return finish(attempt_end::unknown,
+                          "the stream was closed before its first event");
+        }
         if (!exchange_.response.begun())
         {
             exchange_.stream_head = answer.head();
--- a/tests/gateway/gateway_stream_test.cpp
+++ b/tests/gateway/gateway_stream_test.cpp
@@ -297,3 +297,25 @@
     cr_assert(answer.complete);
     cr_assert_eq(answer.body, event(1));
 }
+
+Test(gateway_stream, stream_without_length_that_is_closed_before_an_event_is_retried)
+{
+    std::atomic<int> count = 0;
+    const auto close_first = [&](tcp_stream& stream, const received_request& request) {
+        if (++count == 2)
+        {
+            send_event_stream(stream, request, 1, 1);
+            return;
+        }
+        send_text(stream, fmt::format("HTTP/1.1 200 OK\r\nRequest-Id: {}\r\n"
+                                      "Response-Stamp: s\r\n"
+                                      "Content-Type: text/event-stream\r\n\r\n",
+                                      request_id_of(request)));
+    };
+    const scripted_backend one(close_first);
+    const scripted_backend two(close_first);
+    gateway_fixture gateway;
+    gateway.add_backend(one, "i-1", "model");
+    gateway.add_backend(two, "i-2", "model");
+    cr_assert_eq(gateway.send_request("/stream/x", prompt_headers(1'000)).body, event(1));
+}
