A begun stream is not continued with an answer of another media type

What callers saw: a stream broke off, the next backend server answered 200 with a text that is no event stream, and the text was appended to the caller's events.

Cause: each 200 with a stamp was taken as the continuation, whatever its body was.

Evidence: begun_stream_is_not_continued_with_text_of_another_media_type failed before (received: event 1, then "an error").

Change: an answer whose Content-Type differs from that of the begun stream fails the attempt. The stream is resumed elsewhere or closed without its end marker.

--- a/source/connection/forward_attempt.hpp
+++ b/source/connection/forward_attempt.hpp
@@ -257,6 +257,16 @@
         return finish(attempt_end::unknown, "timed out waiting for the backend server");
     }
 
+    /// Returns whether an answer with this head cannot continue the stream that another
+    /// backend server began.
+    [[nodiscard]] bool differs_from_stream(const message_head& head) const
+    {
+        constexpr std::string_view media_type = "Content-Type";
+        return exchange_.response.begun() &&
+               !same_header_name(head.value(media_type),
+                                 exchange_.stream_head.value(media_type));
+    }
+
     /// Returns the end of the attempt if the head of the answer already determines it.
     std::optional<attempt_end> early_end(const message_head& head)
     {
@@ -270,6 +280,11 @@
         case answer_kind::untrusted:
             return attempt_end::unknown;
         case answer_kind::success:
+            if (differs_from_stream(head))
+            {
+                return attempt_end::unknown;
+            }
+            break;
         case answer_kind::failure:
             break;
         }
--- a/tests/gateway/gateway_stream_test.cpp
+++ b/tests/gateway/gateway_stream_test.cpp
@@ -319,3 +319,15 @@
     gateway.add_backend(two, "i-2", "model");
     cr_assert_eq(gateway.send_request("/stream/x", prompt_headers(1'000)).body, event(1));
 }
+
+Test(gateway_stream, begun_stream_is_not_continued_with_text_of_another_media_type)
+{
+    resumed_stream_fixture it([](tcp_stream& stream, const received_request& request) {
+        send_text(stream, fmt::format("HTTP/1.1 200 OK\r\nRequest-Id: {}\r\n"
+                                      "Response-Stamp: s\r\n"
+                                      "Content-Type: text/plain\r\n"
+                                      "Content-Length: 10\r\n\r\nan error\n\n",
+                                      request_id_of(request)));
+    });
+    it.expect_broken_off();
+}
