Events that were delivered before do not reach the caller again

What callers saw: a stream broke off, and the next backend server ran the request from its start in spite of Last-Event-Id. The caller got the same events twice.

Cause: the events of a resumed stream were forwarded without a look at their ids.

Evidence: begun_stream_is_not_continued_with_events_delivered_before failed before (received: event 1, event 1, event 2).

Change: a resumed stream whose first events do not follow the last id delivered fails the attempt, and the id to resume from stays the one that the caller knows.

--- a/source/connection/event_splitter.hpp
+++ b/source/connection/event_splitter.hpp
@@ -17,6 +17,9 @@
     /// Returns all complete events received so far, or an empty string, and records the
     /// `id` field of the last one.
     std::string take_complete_events();
+    /// Returns whether the complete events received so far begin with an id that does not
+    /// follow the last one returned. Ids are increasing numbers.
+    [[nodiscard]] bool repeats_events() const;
     /// Returns the last `id` field among the returned events, if any had one.
     [[nodiscard]] const std::optional<std::string>& last_id() const { return last_id_; }
     /// Returns whether an incomplete event is buffered.
--- a/source/connection/forward_attempt.hpp
+++ b/source/connection/forward_attempt.hpp
@@ -84,7 +84,7 @@
                     std::function<void()> on_first_event)
         : exchange_(it), timeouts_(timeouts), limits_(limits),
           held_bytes_(limits.all_answers), memory_(memory),
-          on_first_event_(std::move(on_first_event))
+          on_first_event_(std::move(on_first_event)), resumes_(it.response.begun())
     {
     }
 
@@ -307,6 +307,11 @@
             return false;
         }
         exchange_.events.feed(answer.take_body());
+        if (resumes_ && exchange_.events.repeats_events())
+        {
+            exchange_.events.discard_partial();
+            throw protocol_error("the resumed stream repeats events");
+        }
         const auto events = exchange_.events.take_complete_events();
         if (events.empty())
         {
@@ -403,6 +408,7 @@
     time_point last_event_;
     attempt_result result_;
     bool has_head_ = false;
+    bool resumes_; ///< Whether another attempt has begun the caller's stream.
 };
 
 } // namespace pistachiopost
--- a/tests/gateway/gateway_stream_test.cpp
+++ b/tests/gateway/gateway_stream_test.cpp
@@ -331,3 +331,11 @@
     });
     it.expect_broken_off();
 }
+
+Test(gateway_stream, begun_stream_is_not_continued_with_events_delivered_before)
+{
+    resumed_stream_fixture it([](tcp_stream& stream, const received_request& request) {
+        send_event_stream(stream, request, 1, 2);
+    });
+    it.expect_broken_off();
+}
