A refusal that bears another request's id promises nothing

What callers saw: a faulty worker wrote an earlier refusal once more. The caller of a request that the worker had received, and may run, was told 503, not run; a request that must run once at most could also go on to a second worker.

Cause: decode_answer() took status 421 and Not-Run as a promise before it looked whose id the answer echoes.

Evidence: failed before: refusal_of_another_request_is_not_taken_as_a_promise (503 instead of 502) and refusal_that_bears_another_requests_id_promises_nothing (421 with the id r2 was "misdirected" for r1).

Each attempt opens a connection of its own, so bytes after a complete answer reach no later request; refusal_sent_after_a_complete_answer_is_not_forwarded plays that and passed before.

--- a/tests/gateway/gateway_call_test.cpp
+++ b/tests/gateway/gateway_call_test.cpp
@@ -86,6 +86,44 @@
     cr_assert_eq(gateway.send_request("/once/x").head.status, 502);
 }
 
+Test(gateway_call, refusal_of_another_request_is_not_taken_as_a_promise)
+{
+    const auto repeat_refusal = [](tcp_stream& stream, const received_request&) {
+        send_text(stream, "HTTP/1.1 503 x\r\nRequest-Id: earlier\r\nNot-Run: 1\r\n"
+                          "Content-Length: 0\r\n\r\n");
+    };
+    scripted_backend one(repeat_refusal);
+    scripted_backend two(repeat_refusal);
+    gateway_fixture gateway;
+    gateway.add_backend(one, "i-1", "plain");
+    gateway.add_backend(two, "i-2", "plain");
+    cr_assert_eq(gateway.send_request("/once/x").head.status, 502);
+    cr_assert_eq(one.requests().size() + two.requests().size(), 1U);
+}
+
+Test(gateway_call, refusal_sent_after_a_complete_answer_is_not_forwarded)
+{
+    const scripted_backend server([](auto& stream, const auto& request) {
+        send_text(
+            stream,
+            fmt::format("HTTP/1.1 200 OK\r\nRequest-Id: {0}\r\nResponse-Stamp: s\r\n"
+                        "Content-Length: 2\r\n\r\nok"
+                        "HTTP/1.1 503 x\r\nRequest-Id: {0}\r\nNot-Run: 1\r\n"
+                        "Content-Length: 0\r\n\r\n",
+                        request_id_of(request)));
+    });
+    gateway_fixture gateway;
+    gateway.add_backend(server, "i-1", "plain");
+    auto caller = gateway.connect();
+    for (int i = 0; i < 2; ++i)
+    {
+        send_text(caller, gateway_fixture::request("/once/x"));
+        const auto answer = gateway_fixture::read_answer(caller);
+        cr_assert_eq(answer.head.status, 200);
+        cr_assert_eq(answer.body, "ok");
+    }
+}
+
 Test(gateway_call, truncated_answer_is_not_forwarded)
 {
     const scripted_backend server([](auto& stream, const auto& request) {
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -133,6 +133,18 @@
     cr_assert_eq(kind(head_of(500, {id, stamp})), answer_kind::failure);
 }
 
+Test(platform_message_codec, refusal_that_bears_another_requests_id_promises_nothing)
+{
+    const auto kind = [](const message_head& it) {
+        return platform::decode_answer(it, "r1");
+    };
+    const header_field other{"Request-Id", "r2"};
+    cr_assert_eq(kind(head_of(421, {other})), answer_kind::mismatched);
+    cr_assert_eq(kind(head_of(503, {other, {"Not-Run", "1"}})), answer_kind::mismatched);
+    cr_assert_eq(kind(head_of(503, {{"Request-Id", "r1"}, {"Not-Run", "1"}})),
+                 answer_kind::not_run);
+}
+
 Test(configuration_codec, routes_services_and_customers_are_read)
 {
     const auto table = platform::decode_configuration(
