An interim response is not taken as a promise

What callers saw: 503, not run, for a request that the worker ran: the worker had sent an interim response (1xx) with a Not-Run header before its answer.

Cause: decode_answer() did not look at the class of the status, and the answer of a backend server ends at its first head.

Evidence: interim_response_with_a_refusal_is_not_taken_as_a_promise failed before (status 503).

--- a/tests/gateway/gateway_call_test.cpp
+++ b/tests/gateway/gateway_call_test.cpp
@@ -124,6 +124,22 @@
     }
 }
 
+Test(gateway_call, interim_response_with_a_refusal_is_not_taken_as_a_promise)
+{
+    scripted_backend server([](auto& stream, const auto& request) {
+        send_text(stream,
+                  fmt::format("HTTP/1.1 102 x\r\nNot-Run: 1\r\n\r\n"
+                              "HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nResponse-Stamp: s\r\n"
+                              "Content-Length: 2\r\n\r\nok",
+                              request_id_of(request)));
+    });
+    gateway_fixture gateway;
+    gateway.add_backend(server, "i-1", "plain");
+    const auto status = gateway.send_request("/once/x").head.status;
+    cr_assert(status == 200 || status == 502, "status %d", status);
+    cr_assert_eq(server.requests().size(), 1U);
+}
+
 Test(gateway_call, truncated_answer_is_not_forwarded)
 {
     const scripted_backend server([](auto& stream, const auto& request) {
