Documents from outside are parsed into a bounded nesting

What callers saw: nothing yet. One datagram of 32 kB of nested msgpack arrays to the port for load reports ended the gateway, with all requests that it served.

Cause: the library's msgpack parser recurses once for each level, and copies of a document do so as well; a task has 512 kB of stack.

Evidence: datagram_of_deeply_nested_arrays_is_ignored, deeply_nested_answer_is_a_codec_error and deeply_nested_configuration_is_a_codec_error failed before, each with "CRASH!".

The entry of a backend server was read without recursion before: backend_row_of_nested_brackets_is_rejected plays 64 kB of brackets and passed.

--- a/source/connection/gateway_record_codec.cpp
+++ b/source/connection/gateway_record_codec.cpp
@@ -1,6 +1,7 @@
 #include "connection/gateway_record_codec.hpp"
 
 #include "connection/codec_error.hpp"
+#include "connection/untrusted_json.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -19,7 +20,7 @@
 {
     try
     {
-        const auto body = json::parse(value);
+        const auto body = parse_untrusted_json(value);
         const auto address = parse_endpoint(body.at("address").get<std::string>());
         if (!address)
         {
--- a/source/connection/load_report_codec.cpp
+++ b/source/connection/load_report_codec.cpp
@@ -1,6 +1,7 @@
 #include "connection/load_report_codec.hpp"
 
 #include "connection/codec_error.hpp"
+#include "connection/untrusted_json.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -112,7 +113,7 @@
 {
     try
     {
-        const auto body = json::from_msgpack(bytes);
+        const auto body = parse_untrusted_msgpack(bytes);
         load_report_message it;
         it.gateway = body.at(0);
         it.boot = read_count(body.at(1));
--- a/source/connection/relay_codec.cpp
+++ b/source/connection/relay_codec.cpp
@@ -1,6 +1,7 @@
 #include "connection/relay_codec.hpp"
 
 #include "connection/codec_error.hpp"
+#include "connection/untrusted_json.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -51,7 +52,7 @@
 relay_request decode_relay_request(std::string_view bytes)
 {
     return turn_errors([&] {
-        const auto body = json::parse(bytes);
+        const auto body = parse_untrusted_json(bytes);
         return relay_request{body.at("table"), read_unsigned(body.at("since")),
                              read_duration(body.at("wait_ms"))};
     });
@@ -73,7 +74,7 @@
 row_batch decode_row_batch(std::string_view bytes)
 {
     return turn_errors([&] {
-        const auto body = json::from_msgpack(bytes);
+        const auto body = parse_untrusted_msgpack(bytes);
         row_batch batch;
         batch.version = read_unsigned(body.at(0));
         for (const auto& it : body.at(1))
--- a/tests/connection/peer_link_test.cpp
+++ b/tests/connection/peer_link_test.cpp
@@ -199,6 +199,18 @@
     cr_assert_eq(it.nodes[0]->known_requests(), 0U);
 }
 
+Test(peer_link, datagram_of_deeply_nested_arrays_is_ignored)
+{
+    constexpr std::size_t datagram_bytes = 32'768;
+    peer_fixture it;
+    for (const char nested : {'\x91', '\x81'}) // an array or a map of one element
+    {
+        it.send_foreign(0, std::string(datagram_bytes, nested));
+    }
+    cr_assert(it.eventually(
+        [](node& one) { return one.directory.size() == peer_fixture::count; }));
+}
+
 Test(peer_link, late_and_repeated_reports_do_not_replace_newer_ones)
 {
     peer_fixture it;
--- a/tests/connection/relay_test.cpp
+++ b/tests/connection/relay_test.cpp
@@ -54,6 +54,23 @@
 
 } // namespace
 
+Test(relay, deeply_nested_answer_is_a_codec_error)
+{
+    constexpr std::size_t answer_bytes = 1U << 20U;
+    bool rejected = false;
+    task([&] {
+        try
+        {
+            decode_row_batch(std::string(answer_bytes, '\x91'));
+        }
+        catch (const codec_error&)
+        {
+            rejected = true;
+        }
+    }).join();
+    cr_assert(rejected);
+}
+
 Test(relay, rows_arrive_unchanged)
 {
     relay_fixture it;
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -7,6 +7,7 @@
 
 #include <arpa/inet.h>
 #include <criterion/criterion.h>
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 #include <sys/socket.h>
 
@@ -173,6 +174,30 @@
                     codec_error);
 }
 
+Test(configuration_codec, deeply_nested_configuration_is_a_codec_error)
+{
+    constexpr std::size_t levels = 100'000;
+    std::string nested;
+    for (std::size_t i = 0; i < levels; ++i)
+    {
+        nested += R"({"a":)";
+    }
+    nested += "1" + std::string(levels, '}');
+    bool rejected = false;
+    task([&] {
+        try
+        {
+            platform::decode_configuration(
+                R"({"version":1,"routes":[],"services":[],"limits":)" + nested + "}");
+        }
+        catch (const codec_error&)
+        {
+            rejected = true;
+        }
+    }).join();
+    cr_assert(rejected);
+}
+
 Test(configuration_codec, malformed_backend_row_is_rejected)
 {
     std::string fault;
@@ -192,6 +217,26 @@
     cr_assert_not(fault.empty());
 }
 
+Test(configuration_codec, backend_row_of_nested_brackets_is_rejected)
+{
+    constexpr std::size_t row_bytes = 65'536;
+    std::string fault;
+    std::string objects;
+    while (objects.size() < row_bytes)
+    {
+        objects += R"({"a":)";
+    }
+    for (const auto& row : {std::string(row_bytes, '['), objects,
+                            std::string(row_bytes, '[') + std::string(row_bytes, ']')})
+    {
+        task([&] {
+            cr_assert_not(platform::decode_backend("i-1", row, fault).has_value());
+        }).join();
+    }
+    constexpr std::size_t max_fault_bytes = 200;
+    cr_assert_leq(fault.size(), max_fault_bytes, "the reason must fit in a log line");
+}
+
 Test(reservation_codec, reservation_call_contains_size_and_duration)
 {
     const auto it = platform::encode_reserve("t1", 60'000, milliseconds{3'500});
