--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -217,6 +217,30 @@
     cr_assert_not(fault.empty());
 }
 
+Test(configuration_codec, backend_row_with_a_number_out_of_range_is_rejected)
+{
+    std::string fault;
+    const auto read = [&](const char* port, const char* slots, const char* born) {
+        const auto row = fmt::format(R"({{"service":"s","address":"10.0.0.1:{}",
+            "zone":"z","slots":{},"state":"ready","born":{}}})",
+                                     port, slots, born);
+        return platform::decode_backend("i-1", row, fault).has_value();
+    };
+    cr_assert(read("80", "4", "5"));
+    for (const char* port : {"0", "65536", "99999999999", "-1", "+80", "8e1", ""})
+    {
+        cr_assert_not(read(port, "4", "5"), "port %s", port);
+    }
+    for (const char* slots : {"0", "-1", "1e400", "4.5", "99999999999999999999"})
+    {
+        cr_assert_not(read("80", slots, "5"), "slots %s", slots);
+    }
+    for (const char* born : {"1e300", "1e400", "-1", "18446744073709551615", "true"})
+    {
+        cr_assert_not(read("80", "4", born), "born %s", born);
+    }
+}
+
 Test(configuration_codec, backend_row_of_nested_brackets_is_rejected)
 {
     constexpr std::size_t row_bytes = 65'536;
