--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -308,3 +308,22 @@
     const auto body = nlohmann::json::parse(store.requests.at(0).body);
     cr_assert_eq(body.at("writes").at(0).at("value"), "aGk=");
 }
+
+Test(store_client, malformed_row_is_skipped_and_the_others_are_read)
+{
+    store_fixture store({{200, R"({"rows":[{"key":"a","value":["hi"],"ver":3},{"key":4},7,
+        {"key":"b","value":"aGk=","ver":"x"},{"key":"c","value":"aGk=","ver":4}],
+        "has-more":false,"ver":9})"}});
+    platform::store_client client(store.address);
+    const auto batch = client.read_table("t");
+    cr_assert_eq(batch.rows.size(), 1U);
+    cr_assert_eq(batch.rows[0].key, "c");
+}
+
+Test(store_client, reply_without_rows_is_a_store_error)
+{
+    store_fixture store({{200, "[]"}, {200, R"({"rows":{},"has-more":1,"ver":9})"}});
+    platform::store_client client(store.address);
+    cr_assert_throw(client.read_table("t"), store_error);
+    cr_assert_throw(client.read_table("t"), store_error);
+}
