A page of rows is requested after a key with reserved characters

What callers saw: with more than 500 rows and a key with a space, a "#" or "&" at the end of a page, gateways could not read the table: the request line was malformed, and each further try ended alike.

Cause: the key went into the target without percent-encoding.

Evidence: page_after_a_key_with_reserved_characters_is_requested failed before (the request line held "&from=a b&limit=1#%00"; the connection was closed).

--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -327,3 +327,16 @@
     cr_assert_throw(client.read_table("t"), store_error);
     cr_assert_throw(client.read_table("t"), store_error);
 }
+
+Test(store_client, page_after_a_key_with_reserved_characters_is_requested)
+{
+    store_fixture store({{200, R"({"rows":[{"key":"a b&limit=1#","value":"","ver":3}],
+                                  "has-more":true,"ver":9})"},
+                         {200, R"({"rows":[{"key":"c","value":"","ver":4}],
+                                  "has-more":false,"ver":9})"}});
+    platform::store_client client(store.address);
+    cr_assert_eq(client.read_table("t").rows.size(), 2U);
+    const auto target = store.requests.at(1).head.target;
+    cr_assert_neq(target.find("&from=a%20b%26limit%3D1%23%00"), std::string::npos,
+                  "requested: %s", target.c_str());
+}
