An event of an unexpected type does not end the agent

What callers saw: nothing yet. An engine that sent an event with an empty list of choices, or with a field of another type, ended the agent beside it, with all requests that it served.

Cause: the event was checked for JSON and for "choices" only; the library's exception about anything else left the task of the attempt.

Evidence: event_of_an_unexpected_type_fails_the_attempt failed before ("Caught an unexpected exception ... out_of_range.401").

Change: each error of the library fails the attempt like other malformed events.

--- a/source/connection/engine_backend.cpp
+++ b/source/connection/engine_backend.cpp
@@ -78,26 +78,29 @@
             done_ = true;
             return true;
         }
-        const auto event = json::parse(data, nullptr, false);
-        if (event.is_discarded() || !event.contains("choices"))
-        {
-            return fail("the engine sent an event that is not a completion");
-        }
-        if (event.value("id", "") != job_.order().attempt_id)
+        try
         {
-            return fail("the engine sent a piece of another answer");
+            const auto event = json::parse(data);
+            if (event.value("id", "") != job_.order().attempt_id)
+            {
+                return fail("the engine sent a piece of another answer");
+            }
+            const auto& choice = event.at("choices").at(0);
+            const auto text = choice.contains("delta")
+                                  ? choice["delta"].value("content", std::string())
+                                  : choice.value("text", std::string());
+            if (!text.empty())
+            {
+                chunk.bytes += text;
+                ++chunk.count;
+                ++next_;
+            }
+            return true;
         }
-        const auto& choice = event["choices"].at(0);
-        const auto text = choice.contains("delta")
-                              ? choice["delta"].value("content", std::string())
-                              : choice.value("text", std::string());
-        if (!text.empty())
+        catch (const json::exception&)
         {
-            chunk.bytes += text;
-            ++chunk.count;
-            ++next_;
+            return fail("the engine sent an event that is not a completion");
         }
-        return true;
     }
 
     bool fail(std::string_view detail)
