The body of an engine's error response is no part of the answer

What callers saw: a stream broke off, the next engine answered with an error status and a body with events. The caller got them in its stream, or a stream that ended as if it were complete.

Cause: the reader of the event stream received the body whatever the status was, and its end marker counted before the status.

Evidence: body_of_an_error_response_is_no_part_of_the_answer failed before (an answer_end instead of a refusal).

Change: bytes are parsed only if the status is 200.

--- a/source/connection/engine_backend.cpp
+++ b/source/connection/engine_backend.cpp
@@ -322,9 +322,14 @@
     it.client.set_read_timeout(it.read_timeout(job, steady::now()));
     completion_stream_reader stream(job, on_first_token);
     auto http = it.make_request(job);
-    http.content_receiver = [&stream](const char* data, std::size_t n, std::uint64_t,
-                                      std::uint64_t) {
-        return stream.receive({data, n});
+    int status = 0;
+    http.response_handler = [&status](const httplib::Response& head) {
+        status = head.status;
+        return true;
+    };
+    http.content_receiver = [&](const char* data, std::size_t n, std::uint64_t,
+                                std::uint64_t) {
+        return status == status_ok ? stream.receive({data, n}) : !job.cancelled();
     };
     job.set_interrupt([&it] { it.client.stop(); });
     const auto answer = it.client.send(http);
--- a/tests/connection/engine_backend_test.cpp
+++ b/tests/connection/engine_backend_test.cpp
@@ -84,3 +84,12 @@
         cr_assert(std::holds_alternative<refusal>(result), "event %s", event);
     }
 }
+
+Test(engine_backend, body_of_an_error_response_is_no_part_of_the_answer)
+{
+    engine_fixture engine(
+        500, "data: {\"id\":\"r-1\",\"choices\":[{\"text\":\"a\"}]}\n\ndata: [DONE]\n\n");
+    const auto result = engine.run();
+    cr_assert(std::holds_alternative<refusal>(result));
+    cr_assert_eq(engine.chunks, 0U);
+}
