An entry of the VM list with a port out of range is ignored

What callers saw: nothing yet. Entries dialled another port than the one listed: 65616 became 80, -1 became 65535.

Cause: the port was converted to 16 bits without a check; the address was taken as it was.

Evidence: entry_with_an_address_or_port_out_of_range_is_ignored failed before ("address 10.0.0.2, port 0").

Change: address and port are checked as in other entries; an entry that fails is left out with the log line for malformed ones.

--- a/source/connection/vm_list_client.cpp
+++ b/source/connection/vm_list_client.cpp
@@ -1,5 +1,6 @@
 #include "connection/vm_list_client.hpp"
 
+#include "connection/codec_error.hpp"
 #include "process/logging.hpp"
 
 #include <fmt/format.h>
@@ -14,12 +15,24 @@
 constexpr int status_ok = 200;
 constexpr int status_not_modified = 304;
 
+void log_ignored(std::string_view fault)
+{
+    log(log_level::warn, fmt::format("ignored malformed VM list entry: {}", fault));
+}
+
+/// Throws json::exception or codec_error.
 backend_server read_server(const json& it)
 {
     backend_server server;
     server.vm = it.at("vm").get<std::string>();
-    server.agent.address = it.at("address").get<std::string>();
-    server.agent.port = it.at("port").get<std::uint16_t>();
+    const auto agent = parse_endpoint(
+        fmt::format("{}:{}", it.at("address").get_ref<const std::string&>(),
+                    it.at("port").get_ref<const json::number_unsigned_t&>()));
+    if (!agent)
+    {
+        throw codec_error("address or port out of range");
+    }
+    server.agent = *agent;
     server.zone = it.at("zone").get<std::string>();
     server.region = it.at("region").get<std::string>();
     server.kind = it.at("kind").get<std::string>() == "engine" ? work_kind::completion
@@ -60,10 +73,13 @@
         {
             servers.push_back(read_server(it));
         }
+        catch (const codec_error& problem)
+        {
+            log_ignored(problem.what());
+        }
         catch (const json::exception& problem)
         {
-            log(log_level::warn,
-                fmt::format("ignored malformed VM list entry: {}", problem.what()));
+            log_ignored(problem.what());
         }
     }
     etag_ = answer.etag;
