An answer sent twice is not taken for that of the next call

What callers saw: nothing yet. A store, relay, engine or table service that sent an answer twice on a kept connection gave the next call the answer to the one before.

Cause: http_client used a kept connection again as long as it was open, also with bytes left in its buffer or ready to be read.

Evidence: answer_sent_twice_is_not_taken_for_that_of_the_next_call failed before (the second call got the body of the first).

Change: a connection with bytes before a call is replaced. A copy that arrives after the next call was sent cannot be told apart, as these answers bear no id.

--- a/source/connection/http_client.cpp
+++ b/source/connection/http_client.cpp
@@ -13,6 +13,14 @@
 // 3 s after which the platform considers a VM reachable again.
 constexpr milliseconds peer_timeout{1'500};
 
+/// Returns whether the connection is open and holds no bytes, which would belong to an
+/// earlier call.
+bool is_idle(const tcp_stream& stream)
+{
+    return stream.buffered().empty() &&
+           wait_readable(stream.fd(), -1, steady::now()) == wake_cause::timeout;
+}
+
 } // namespace
 
 http_client::http_client(endpoint remote, milliseconds timeout)
@@ -31,7 +39,7 @@
     try
     {
         const auto until = steady::now() + wait + timeout_;
-        if (!stream_ || peer_closed(stream_->fd()))
+        if (!stream_ || !is_idle(*stream_))
         {
             connect();
         }
--- a/tests/connection/http_call_test.cpp
+++ b/tests/connection/http_call_test.cpp
@@ -3,6 +3,7 @@
 #include "connection/http_call.hpp"
 
 #include "connection/http_client.hpp"
+#include "connection/http_reader.hpp"
 #include "connection/status_server.hpp"
 #include "process/task.hpp"
 
@@ -129,3 +130,72 @@
     }
     cr_assert_lt(bytes_taken(chunked_head, chunks, milliseconds{50}), max_flood_bytes);
 }
+
+namespace {
+
+/// A peer that keeps connections and sends the first answer of each one twice.
+class repeating_peer
+{
+public:
+    repeating_peer()
+    {
+        sockaddr_in addr{};
+        socklen_t n = sizeof addr;
+        getsockname(listener_.get(), reinterpret_cast<sockaddr*>(&addr), &n);
+        address = {"127.0.0.1", ntohs(addr.sin_port)};
+        serving_ = task([this] {
+            std::list<task> connections;
+            accept_until(listener_, stop_.get(), [&](unique_fd sock) {
+                auto shared = std::make_shared<unique_fd>(std::move(sock));
+                connections.emplace_back([shared] { serve(std::move(*shared)); });
+            });
+            for (auto& it : connections)
+            {
+                it.join();
+            }
+        });
+    }
+
+    ~repeating_peer()
+    {
+        signal_event_fd(stop_);
+        serving_.join();
+    }
+
+    repeating_peer(const repeating_peer&) = delete;
+    repeating_peer& operator=(const repeating_peer&) = delete;
+
+    endpoint address;
+
+private:
+    static void serve(unique_fd sock)
+    {
+        tcp_stream stream(std::move(sock));
+        int copies = 2;
+        for (received_request request;
+             read_request(stream, {}, -1, request) == request_outcome::complete;
+             request = {})
+        {
+            const auto& path = request.head.target;
+            const auto answer = fmt::format(
+                "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}", path.size(), path);
+            stream.send(copies == 2 ? answer + answer : answer,
+                        steady::now() + seconds{5});
+            copies = 1;
+        }
+    }
+
+    unique_fd listener_ = listen_tcp({"127.0.0.1", 0});
+    unique_fd stop_ = open_event_fd();
+    task serving_;
+};
+
+} // namespace
+
+Test(http_call, answer_sent_twice_is_not_taken_for_that_of_the_next_call)
+{
+    const repeating_peer peer;
+    http_client client(peer.address, patient);
+    cr_assert_eq(client.get("/first").body, "/first");
+    cr_assert_eq(client.get("/second").body, "/second");
+}
