--- a/source/connection/forward_attempt.hpp
+++ b/source/connection/forward_attempt.hpp
@@ -97,7 +97,8 @@
                     const answer_limits& limits, memory_lease<Codec>& memory,
                     Observer& observer)
         : exchange_(it), timeouts_(timeouts), limits_(limits),
-          held_bytes_(limits.all_answers), memory_(memory), observer_(observer)
+          held_bytes_(limits.all_answers), memory_(memory), observer_(observer),
+          resumes_(it.response.begun())
     {
     }
 
@@ -263,9 +264,10 @@
                 return finish(attempt_end::unknown,
                               "the answer exceeds the limit on bytes held in memory");
             }
-            if (answer.done() || (!open && answer.end_of_stream()))
+            if (const bool framed = answer.done();
+                framed || (!open && answer.end_of_stream()))
             {
-                return complete(answer);
+                return complete(answer, framed);
             }
             if (!open)
             {
@@ -294,6 +296,16 @@
         return finish(attempt_end::unknown, "timed out waiting for the backend server");
     }
 
+    /// Returns whether an answer with this head cannot continue the stream that another
+    /// backend server began.
+    [[nodiscard]] bool differs_from_stream(const message_head& head) const
+    {
+        constexpr std::string_view media_type = "Content-Type";
+        return exchange_.response.begun() &&
+               !same_header_name(head.value(media_type),
+                                 exchange_.stream_head.value(media_type));
+    }
+
     /// Returns the end of the attempt if the head of the answer already determines it.
     std::optional<attempt_end> early_end(const message_head& head)
     {
@@ -307,6 +319,11 @@
         case answer_kind::untrusted:
             return attempt_end::unknown;
         case answer_kind::success:
+            if (differs_from_stream(head))
+            {
+                return attempt_end::unknown;
+            }
+            break;
         case answer_kind::failure:
             break;
         }
@@ -329,6 +346,11 @@
             return false;
         }
         exchange_.events.feed(answer.take_body());
+        if (resumes_ && exchange_.events.repeats_events())
+        {
+            exchange_.events.discard_partial();
+            throw protocol_error("the resumed stream repeats events");
+        }
         const auto events = exchange_.events.take_complete_events();
         if (events.empty())
         {
@@ -385,7 +407,9 @@
         }
     }
 
-    attempt_result complete(response_reader& answer)
+    /// Handles the end of the answer. Without framing it is the close of the connection,
+    /// which a crash causes as well.
+    attempt_result complete(response_reader& answer, bool framed)
     {
         if (!is_stream())
         {
@@ -395,9 +419,16 @@
         }
         if (exchange_.events.has_partial())
         {
+            result_.broken_off = !framed;
             return finish(attempt_end::unknown,
                           "the stream ended in the middle of an event");
         }
+        if (!framed && !exchange_.response.begun() && !exchange_.request.last_event_id)
+        {
+            result_.broken_off = true;
+            return finish(attempt_end::unknown,
+                          "the stream was closed before its first event");
+        }
         if (!exchange_.response.begun())
         {
             exchange_.stream_head = answer.head();
@@ -417,6 +448,7 @@
     time_point last_bytes_at_;
     attempt_result result_;
     bool has_head_ = false;
+    bool resumes_; ///< Whether another attempt has begun the caller's stream.
 };
 
 } // namespace pistachiopost
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -7,6 +7,7 @@
 
 #include <arpa/inet.h>
 #include <criterion/criterion.h>
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 #include <sys/socket.h>
 
@@ -134,6 +135,18 @@
     cr_assert_eq(kind(head_of(500, {id, stamp})), answer_kind::failure);
 }
 
+Test(platform_message_codec, refusal_that_bears_another_requests_id_promises_nothing)
+{
+    const auto kind = [](const message_head& it) {
+        return platform::decode_answer(it, "r1");
+    };
+    const header_field other{"Request-Id", "r2"};
+    cr_assert_eq(kind(head_of(421, {other})), answer_kind::mismatched);
+    cr_assert_eq(kind(head_of(503, {other, {"Not-Run", "1"}})), answer_kind::mismatched);
+    cr_assert_eq(kind(head_of(503, {{"Request-Id", "r1"}, {"Not-Run", "1"}})),
+                 answer_kind::not_run);
+}
+
 Test(configuration_codec, routes_services_and_customers_are_read)
 {
     const auto table = platform::decode_configuration(
@@ -162,6 +175,30 @@
                     codec_error);
 }
 
+Test(configuration_codec, deeply_nested_configuration_is_a_codec_error)
+{
+    constexpr std::size_t levels = 100'000;
+    std::string nested;
+    for (std::size_t i = 0; i < levels; ++i)
+    {
+        nested += R"({"a":)";
+    }
+    nested += "1" + std::string(levels, '}');
+    bool rejected = false;
+    task([&] {
+        try
+        {
+            platform::decode_configuration(
+                R"({"version":1,"routes":[],"services":[],"limits":)" + nested + "}");
+        }
+        catch (const codec_error&)
+        {
+            rejected = true;
+        }
+    }).join();
+    cr_assert(rejected);
+}
+
 Test(configuration_codec, malformed_backend_row_is_rejected)
 {
     std::string fault;
@@ -181,6 +218,50 @@
     cr_assert_not(fault.empty());
 }
 
+Test(configuration_codec, backend_row_with_a_number_out_of_range_is_rejected)
+{
+    std::string fault;
+    const auto read = [&](const char* port, const char* slots, const char* born) {
+        const auto row = fmt::format(R"({{"service":"s","address":"10.0.0.1:{}",
+            "zone":"z","slots":{},"state":"ready","born":{}}})",
+                                     port, slots, born);
+        return platform::decode_backend("i-1", row, fault).has_value();
+    };
+    cr_assert(read("80", "4", "5"));
+    for (const char* port : {"0", "65536", "99999999999", "-1", "+80", "8e1", ""})
+    {
+        cr_assert_not(read(port, "4", "5"), "port %s", port);
+    }
+    for (const char* slots : {"0", "-1", "1e400", "4.5", "99999999999999999999"})
+    {
+        cr_assert_not(read("80", slots, "5"), "slots %s", slots);
+    }
+    for (const char* born : {"1e300", "1e400", "-1", "18446744073709551615", "true"})
+    {
+        cr_assert_not(read("80", "4", born), "born %s", born);
+    }
+}
+
+Test(configuration_codec, backend_row_of_nested_brackets_is_rejected)
+{
+    constexpr std::size_t row_bytes = 65'536;
+    std::string fault;
+    std::string objects;
+    while (objects.size() < row_bytes)
+    {
+        objects += R"({"a":)";
+    }
+    for (const auto& row : {std::string(row_bytes, '['), objects,
+                            std::string(row_bytes, '[') + std::string(row_bytes, ']')})
+    {
+        task([&] {
+            cr_assert_not(platform::decode_backend("i-1", row, fault).has_value());
+        }).join();
+    }
+    constexpr std::size_t max_fault_bytes = 200;
+    cr_assert_leq(fault.size(), max_fault_bytes, "the reason must fit in a log line");
+}
+
 Test(reservation_codec, reservation_call_contains_size_and_duration)
 {
     const auto it = platform::encode_reserve("t1", 60'000, milliseconds{3'500});
@@ -228,3 +309,35 @@
     const auto body = nlohmann::json::parse(store.requests.at(0).body);
     cr_assert_eq(body.at("writes").at(0).at("value"), "aGk=");
 }
+
+Test(store_client, malformed_row_is_skipped_and_the_others_are_read)
+{
+    store_fixture store({{200, R"({"rows":[{"key":"a","value":["hi"],"ver":3},{"key":4},7,
+        {"key":"b","value":"aGk=","ver":"x"},{"key":"c","value":"aGk=","ver":4}],
+        "has-more":false,"ver":9})"}});
+    platform::store_client client(store.address);
+    const auto batch = client.read_table("t");
+    cr_assert_eq(batch.rows.size(), 1U);
+    cr_assert_eq(batch.rows[0].key, "c");
+}
+
+Test(store_client, reply_without_rows_is_a_store_error)
+{
+    store_fixture store({{200, "[]"}, {200, R"({"rows":{},"has-more":1,"ver":9})"}});
+    platform::store_client client(store.address);
+    cr_assert_throw(client.read_table("t"), store_error);
+    cr_assert_throw(client.read_table("t"), store_error);
+}
+
+Test(store_client, page_after_a_key_with_reserved_characters_is_requested)
+{
+    store_fixture store({{200, R"({"rows":[{"key":"a b&limit=1#","value":"","ver":3}],
+                                  "has-more":true,"ver":9})"},
+                         {200, R"({"rows":[{"key":"c","value":"","ver":4}],
+                                  "has-more":false,"ver":9})"}});
+    platform::store_client client(store.address);
+    cr_assert_eq(client.read_table("t").rows.size(), 2U);
+    const auto target = store.requests.at(1).head.target;
+    cr_assert_neq(target.find("&from=a%20b%26limit%3D1%23%00"), std::string::npos,
+                  "requested: %s", target.c_str());
+}
