--- a/tests/connection/http_call_test.cpp
+++ b/tests/connection/http_call_test.cpp
@@ -172,8 +172,8 @@
     {
         tcp_stream stream(std::move(sock));
         int copies = 2;
-        for (received_request request;
-             read_request(stream, {}, -1, request) == request_outcome::complete;
+        for (received_request request; read_request(stream, caller_limits(), -1,
+                                                    request) == request_outcome::complete;
              request = {})
         {
             const auto& path = request.head.target;
