A backend server that refuses with Retry-After gets no requests in that time

A request that its only server had refused waited 2.8 s in vain.

Cause: Retry-After of a backend server was not read. The ejection after a refusal lasts 0.1 s at first, ejected servers are the fall-back if all are ejected, and a server that refused a request was excluded for it for good.

Change: platform/ decodes the header of a 503 that says not run or is signed, unless it answers another request; what is not a positive number is ignored, and over five minutes is cut. The registry keeps the server out of placement until then and up to 0.1 s longer by a hash of the request, so that gateways do not return together. It is no fall-back; the longer time holds; the next incarnation ends it. The refused request may use the server again afterwards. The dispatcher tells each waiting request when the next server returns: its task wakes then and serves the queue, and is woken when this time changes, so nothing polls. If all servers of a service are out beyond a request's wait, it is refused at once. Retry-After of the gateway's own 503 is not before the first return; the server's value is not copied.

Conclusion: the server's own word now ends work for it, not a count of failures.

--- a/source/connection/forward_attempt.hpp
+++ b/source/connection/forward_attempt.hpp
@@ -41,6 +41,7 @@
     bool silent = false;     ///< The backend server stopped sending.
     bool oversized = false;  ///< The answer exceeded a limit on its bytes.
     bool broken_off = false; ///< The backend server closed or reset the connection.
+    bool backoff = false;    ///< The backend server may be tried again after some time.
     std::optional<time_point> first_event;
     milliseconds longest_pause{0}; ///< Longest gap between events.
 };
@@ -263,6 +264,7 @@
     void handle_notice(const message_head& head)
     {
         const auto notice = Codec::decode_notice(head, exchange_.request.id);
+        result_.backoff = notice.backoff.count() > 0;
         if (!notice.empty())
         {
             on_notice_(*backend_, notice);
--- a/source/process/backend_notice.hpp
+++ b/source/process/backend_notice.hpp
@@ -15,9 +15,10 @@
 /// Announcement of a backend server in the head of an answer.
 struct backend_notice
 {
-    bool leaving = false; ///< It shuts down and must get no new requests.
+    bool leaving = false;    ///< It shuts down and must get no new requests.
+    milliseconds backoff{0}; ///< For which it must get no requests of this gateway.
 
-    [[nodiscard]] bool empty() const { return !leaving; }
+    [[nodiscard]] bool empty() const { return !leaving && backoff.count() == 0; }
 };
 
 /// Called with each announcement as soon as the head of the answer has arrived.
--- a/source/process/backend_registry.cpp
+++ b/source/process/backend_registry.cpp
@@ -75,6 +75,7 @@
         it.consecutive_failures = 0;
         it.ejected_until = now;
         it.announced_leaving = false;
+        it.backoff_until = now;
     }
     it.record = record;
     it.rank = XXH3_64bits(record.id.data(), record.id.size());
@@ -198,14 +199,31 @@
     }
 }
 
-bool backend_registry::record_leaving(const backend_record& backend)
+backend_registry::tracked_backend*
+backend_registry::find_incarnation(const backend_record& backend)
 {
     const auto it = backends_.find(backend.id);
-    if (it == backends_.end() || it->second.record.start_time_ms != backend.start_time_ms)
+    return it != backends_.end() &&
+                   it->second.record.start_time_ms == backend.start_time_ms
+               ? &it->second
+               : nullptr;
+}
+
+bool backend_registry::record_leaving(const backend_record& backend)
+{
+    auto* it = find_incarnation(backend);
+    return it != nullptr && !std::exchange(it->announced_leaving, true);
+}
+
+bool backend_registry::record_backoff(const backend_record& backend, time_point until)
+{
+    auto* it = find_incarnation(backend);
+    if (it == nullptr || until <= it->backoff_until)
     {
         return false;
     }
-    return !std::exchange(it->second.announced_leaving, true);
+    it->backoff_until = until;
+    return true;
 }
 
 void backend_registry::record_success(std::string_view id)
@@ -224,7 +242,8 @@
     std::vector<ranked_backend> ejected;
     for (const auto& [id, it] : backends_)
     {
-        if (it.record.service != service || it.record.leaving || it.announced_leaving)
+        if (it.record.service != service || it.record.leaving || it.announced_leaving ||
+            it.backoff_until > now)
         {
             continue;
         }
@@ -235,6 +254,21 @@
                                               : std::move(available));
 }
 
+std::optional<time_point> backend_registry::next_backoff_end(std::string_view service,
+                                                             time_point now) const
+{
+    std::optional<time_point> next;
+    for (const auto& [id, it] : backends_)
+    {
+        if (it.record.service == service && !it.record.leaving && !it.announced_leaving &&
+            it.backoff_until > now)
+        {
+            next = std::min(next.value_or(it.backoff_until), it.backoff_until);
+        }
+    }
+    return next;
+}
+
 const backend_record* backend_registry::find(std::string_view id) const
 {
     const auto it = backends_.find(id);
--- a/source/process/backend_registry.hpp
+++ b/source/process/backend_registry.hpp
@@ -54,14 +54,22 @@
     /// more, whatever the list says, until its next incarnation. Returns whether this was
     /// not known yet.
     bool record_leaving(const backend_record& backend);
+    /// Records that a backend server asked for no requests before `until`: it is not
+    /// eligible before, unless its next incarnation starts. An earlier time than one
+    /// known has no effect. Returns whether it had.
+    bool record_backoff(const backend_record& backend, time_point until);
     /// Records a successful response and resets the failure counts.
     void record_success(std::string_view id);
 
     /// Returns the eligible backend servers of a service in an order that is the same at
-    /// all gateways. If all are ejected, returns the ejected ones, but never leaving
-    /// ones.
+    /// all gateways. If all are ejected, returns the ejected ones, but never
+    /// those that leave or asked for backoff.
     [[nodiscard]] std::vector<eligible_backend> eligible(std::string_view service,
                                                          time_point now) const;
+    /// Returns when the first backend server of a service that asked for backoff is
+    /// eligible again; nothing if there is none.
+    [[nodiscard]] std::optional<time_point> next_backoff_end(std::string_view service,
+                                                             time_point now) const;
     /// Returns the backend server at `address`, or null if there is none.
     [[nodiscard]] const backend_record* find_by_address(std::string_view address) const;
     /// Returns the backend server `id`, or null if there is none.
@@ -80,8 +88,12 @@
         std::uint32_t consecutive_error_responses = 0;
         time_point ejected_until;
         bool announced_leaving = false;
+        time_point backoff_until;
     };
 
+    /// Returns the entry of this incarnation, or null if there is none.
+    tracked_backend* find_incarnation(const backend_record& backend);
+
     std::map<std::string, tracked_backend, std::less<>> backends_;
     std::optional<time_point> source_down_since_;
     std::optional<time_point> source_recovered_at_;
--- a/source/process/dispatcher.cpp
+++ b/source/process/dispatcher.cpp
@@ -77,6 +77,23 @@
     serve_queue(now);
 }
 
+time_point dispatcher::recheck_time(const queued_request& queued) const
+{
+    const std::lock_guard lock(mutex_);
+    return queued.recheck_at_.value_or(time_point::max());
+}
+
+bool dispatcher::serve(queued_request& queued, time_point now)
+{
+    const std::lock_guard lock(mutex_);
+    if (!queued.place_ && queued.recheck_at_ && *queued.recheck_at_ <= now)
+    {
+        serve_queue(now);
+    }
+    clear_event_fd(queued.wake_);
+    return queued.place_.has_value();
+}
+
 std::optional<placement> dispatcher::dequeue(queued_request& queued, time_point now)
 {
     const std::lock_guard lock(mutex_);
@@ -111,10 +128,27 @@
     serve_queue(now);
 }
 
-milliseconds dispatcher::expected_wait(milliseconds least) const
+milliseconds dispatcher::expected_wait(std::string_view service, milliseconds least,
+                                       time_point now) const
+{
+    const std::lock_guard lock(mutex_);
+    const auto outage = outage_end(service, now).value_or(now) - now;
+    return std::max(least, ceil_milliseconds(outage)) +
+           wait_per_queued_request * queue_.size();
+}
+
+std::optional<time_point> dispatcher::unavailable_until(std::string_view service,
+                                                        time_point now) const
 {
     const std::lock_guard lock(mutex_);
-    return least + wait_per_queued_request * queue_.size();
+    return outage_end(service, now);
+}
+
+std::optional<time_point> dispatcher::outage_end(std::string_view service,
+                                                 time_point now) const
+{
+    const auto end = registry_.next_backoff_end(service, now);
+    return end && registry_.eligible(service, now).empty() ? end : std::nullopt;
 }
 
 std::size_t dispatcher::waiting() const
@@ -334,30 +368,7 @@
         report_due_ = true;
         report_due_changed_.notify_one();
     }
-    const auto it = served_cost_.find(customer);
-    if (it != served_cost_.end())
-    {
-        it->second += engine_cost_ms(place);
-        return;
-    }
-    // A new customer starts at the level of the least served one, so that idle time does
-    // not accumulate as credit.
-    double least = 0;
-    if (!served_cost_.empty())
-    {
-        const auto by_served = [](const auto& a, const auto& b) {
-            return a.second < b.second;
-        };
-        least =
-            std::min_element(served_cost_.begin(), served_cost_.end(), by_served)->second;
-    }
-    served_cost_.emplace(customer, least + engine_cost_ms(place));
-}
-
-double dispatcher::served_cost(std::string_view customer) const
-{
-    const auto it = served_cost_.find(customer);
-    return it == served_cost_.end() ? 0 : it->second;
+    served_cost_.add(customer, engine_cost_ms(place));
 }
 
 double dispatcher::min_served_cost() const
@@ -365,7 +376,7 @@
     double least = std::numeric_limits<double>::max();
     for (const auto* it : queue_)
     {
-        least = std::min(least, served_cost(it->customer_));
+        least = std::min(least, served_cost_.cost_ms(it->customer_));
     }
     return least;
 }
@@ -382,7 +393,7 @@
     // arrival.
     const double least = min_served_cost();
     const auto key = [&](const queued_request* it) {
-        const bool ahead = served_cost(it->customer_) > least + max_lead_ms;
+        const bool ahead = served_cost_.cost_ms(it->customer_) > least + max_lead_ms;
         const bool late = it->target_deadline_ < now && now < it->urgent_from_;
         return std::tuple(late, it->request_->priority, ahead,
                           it->request_->prompt_tokens, it->arrived_);
@@ -406,6 +417,25 @@
         signal_event_fd(queued.wake_);
         it = queue_.erase(it);
     }
+    update_recheck_times(now);
+}
+
+void dispatcher::update_recheck_times(time_point now)
+{
+    std::map<std::string_view, std::optional<time_point>> ends;
+    for (auto* it : queue_)
+    {
+        const auto [entry, is_new] = ends.try_emplace(it->request_->service);
+        if (is_new)
+        {
+            entry->second = registry_.next_backoff_end(it->request_->service, now);
+        }
+        if (it->recheck_at_ != entry->second)
+        {
+            it->recheck_at_ = entry->second;
+            signal_event_fd(it->wake_);
+        }
+    }
 }
 
 } // namespace pistachiopost
--- a/source/process/dispatcher.hpp
+++ b/source/process/dispatcher.hpp
@@ -5,6 +5,7 @@
 
 #include "connection/unique_fd.hpp"
 #include "process/backend_registry.hpp"
+#include "process/customer_costs.hpp"
 #include "process/load_tracker.hpp"
 #include "process/placement.hpp"
 #include "process/slot_contention.hpp"
@@ -23,7 +24,8 @@
 class queued_request
 {
 public:
-    /// wake() becomes readable once the request has its placement.
+    /// wake() becomes readable once the request has its placement, or when
+    /// dispatcher::recheck_time() changes.
     queued_request(std::string_view customer, const placement_request& request,
                    time_point arrived, time_point target_deadline,
                    time_point urgent_from);
@@ -41,6 +43,8 @@
     time_point target_deadline_; ///< Latency target; later answers are late.
     time_point urgent_from_;     ///< From then on the caller may give up at any time.
     std::optional<placement> place_;
+    /// When a backend server of its service that asked for backoff returns.
+    std::optional<time_point> recheck_at_;
     unique_fd wake_;
 };
 
@@ -71,14 +75,25 @@
                                        const placement_request& request, time_point now);
     /// Adds a request to the queue; the caller must remove it with dequeue().
     void enqueue(queued_request& queued, time_point now);
+    /// Returns the time at which serve() is due even if nothing wakes the request.
+    [[nodiscard]] time_point recheck_time(const queued_request& queued) const;
+    /// Handles the wake or the recheck time of a request; returns whether it has its
+    /// placement.
+    bool serve(queued_request& queued, time_point now);
     /// Removes a request from the queue; returns its placement if it got one.
     std::optional<placement> dequeue(queued_request& queued, time_point now);
     /// Records that the first event of this attempt has arrived.
     void prefill_done(const placement& place, time_point now);
     /// Releases a placement; prefill_done() must have been called for it.
     void release(const placement& place, time_point now);
-    /// Returns the estimated queueing time of a new request, at least `least`.
-    [[nodiscard]] milliseconds expected_wait(milliseconds least) const;
+    /// Returns the estimated queueing time of a new request for `service`, at least
+    /// `least` and not before a backend server is available.
+    [[nodiscard]] milliseconds expected_wait(std::string_view service, milliseconds least,
+                                             time_point now) const;
+    /// Returns when the first backend server of `service` returns from its backoff, if
+    /// none is available before.
+    [[nodiscard]] std::optional<time_point> unavailable_until(std::string_view service,
+                                                              time_point now) const;
     /// Returns the number of queued requests.
     [[nodiscard]] std::size_t waiting() const;
 
@@ -136,7 +151,10 @@
                                             candidate_cache& cache, time_point now);
     void charge(std::string_view customer, const placement& place, time_point now);
     void serve_queue(time_point now);
-    [[nodiscard]] double served_cost(std::string_view customer) const;
+    [[nodiscard]] std::optional<time_point> outage_end(std::string_view service,
+                                                       time_point now) const;
+    /// Wakes the requests that wait for another end of a backoff than before.
+    void update_recheck_times(time_point now);
     [[nodiscard]] double min_served_cost() const;
 
     mutable std::mutex mutex_;
@@ -155,7 +173,7 @@
     backend_registry registry_;
     load_tracker loads_;
     std::list<queued_request*> queue_;
-    std::map<std::string, double, std::less<>> served_cost_; ///< Engine ms by customer.
+    customer_costs served_cost_;
 };
 
 } // namespace pistachiopost
--- a/source/process/forward_service.cpp
+++ b/source/process/forward_service.cpp
@@ -80,6 +80,26 @@
     return target_missed || paused ? service_grade::late : service_grade::on_time;
 }
 
+placement_request make_placement_request(const forward_context& run,
+                                         std::string_view service)
+{
+    const auto* known = run.table.find_service(service);
+    placement_request wanted;
+    wanted.service = service;
+    wanted.priority = run.priority;
+    wanted.spread = contention_hash(run.call.request.id);
+    wanted.engine = known != nullptr && known->engine && run.call.matched_route.runs_model
+                        ? &*known->engine
+                        : nullptr;
+    wanted.tightest_gap = run.table.shortest_event_gap();
+    if (run.call.request.prompt)
+    {
+        wanted.prompt_tokens = run.call.request.prompt->prompt_tokens;
+        wanted.output_tokens = run.call.request.prompt->max_output_tokens;
+    }
+    return wanted;
+}
+
 forward_options make_terms(const forward_context& run, const placement& place)
 {
     forward_options terms;
--- a/source/process/forward_service.hpp
+++ b/source/process/forward_service.hpp
@@ -43,6 +43,10 @@
 std::optional<service_grade> grade_request(const forward_context& run, bool answered,
                                            time_point now);
 
+/// Returns what the request needs of the backend servers of `service`.
+placement_request make_placement_request(const forward_context& run,
+                                         std::string_view service);
+
 /// Returns the options of an attempt with this placement; the time left is set when it
 /// begins.
 forward_options make_terms(const forward_context& run, const placement& place);
@@ -113,21 +117,7 @@
     bool run_attempts(forward_context& run)
     {
         const auto service = select_service(run.call.matched_route, run.call.request.id);
-        const auto* known = run.table.find_service(service);
-        placement_request wanted;
-        wanted.service = service;
-        wanted.priority = run.priority;
-        wanted.spread = contention_hash(run.call.request.id);
-        wanted.engine =
-            known != nullptr && known->engine && run.call.matched_route.runs_model
-                ? &*known->engine
-                : nullptr;
-        wanted.tightest_gap = run.table.shortest_event_gap();
-        if (run.call.request.prompt)
-        {
-            wanted.prompt_tokens = run.call.request.prompt->prompt_tokens;
-            wanted.output_tokens = run.call.request.prompt->max_output_tokens;
-        }
+        auto wanted = make_placement_request(run, service);
         const notice_handler on_notice = [&](const auto& backend, const auto& notice) {
             apply_notice(state_, backend, notice, run.call.request.id, steady::now());
         };
@@ -205,15 +195,30 @@
         int caller = run.call.caller.fd();
         for (;;)
         {
-            const auto woken = wait_readable(queued.wake().get(), caller, wait_deadline);
+            const auto back =
+                state_.dispatch.unavailable_until(wanted.service, steady::now());
+            const bool in_vain = back && *back >= wait_deadline;
+            const auto until =
+                std::min(wait_deadline, state_.dispatch.recheck_time(queued));
+            const auto woken = in_vain
+                                   ? wake_cause::timeout
+                                   : wait_readable(queued.wake().get(), caller, until);
             if (woken != wake_cause::second)
             {
-                run.out_of_time = woken == wake_cause::timeout;
-                auto place = state_.dispatch.dequeue(queued, steady::now());
+                const auto now = steady::now();
+                if (!in_vain && now < wait_deadline &&
+                    !state_.dispatch.serve(queued, now))
+                {
+                    continue;
+                }
+                auto place = state_.dispatch.dequeue(queued, now);
                 if (!place)
                 {
+                    run.out_of_time = !in_vain;
                     run.last_error =
-                        "no placement at a backend server within the queue timeout";
+                        in_vain
+                            ? "all backend servers asked for backoff until later"
+                            : "no placement at a backend server within the queue timeout";
                     log_no_placement(
                         run, wanted,
                         state_.dispatch.snapshot(wanted.service, steady::now()));
@@ -314,7 +319,7 @@
         {
             state_.crashes.add({run.fingerprint, id}, now);
         }
-        if (result.blamed.empty())
+        if (result.blamed.empty() && !result.backoff)
         {
             run.failed_backends.push_back(id);
         }
@@ -391,8 +396,11 @@
         case local_reply::broken_off:
             return finish(run, "broken_off", false);
         case local_reply::not_run:
-            response.send_error(503, "not run; retry later",
-                                state_.dispatch.expected_wait(min_retry_after));
+            response.send_error(
+                503, "not run; retry later",
+                state_.dispatch.expected_wait(
+                    select_service(run.call.matched_route, run.call.request.id),
+                    min_retry_after, steady::now()));
             return finish(run, "not_run", !response.closes());
         case local_reply::out_of_time:
             response.send_error(504, "no answer in time; may have run");
--- a/tests/fuzz/targets.cpp
+++ b/tests/fuzz/targets.cpp
@@ -137,6 +137,8 @@
     {
         platform::decode_answer(answer.head(), "r1");
         platform::decode_faulty_backend(answer.head());
+        require(platform::decode_notice(answer.head(), "r1").backoff.count() >= 0,
+                "a backoff is not negative");
     }
     require(body.compare(0, forwarded.size(), forwarded) == 0,
             "events are forwarded unchanged");
--- a/tests/gateway/gateway_availability_test.cpp
+++ b/tests/gateway/gateway_availability_test.cpp
@@ -2,9 +2,12 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <array>
 #include <atomic>
+#include <mutex>
 #include <thread>
+#include <vector>
 
 using namespace pistachiopost;
 
@@ -183,3 +186,131 @@
     gateway.join_connections();
     cr_assert_eq(after_news, 0);
 }
+
+namespace {
+
+/// Refuses a request and asks for no further one for `seconds`.
+void refuse_with_retry_after(tcp_stream& stream, std::string_view seconds)
+{
+    send_text(stream, fmt::format("HTTP/1.1 503 x\r\nNot-Run: 1\r\nRetry-After: {}\r\n"
+                                  "Content-Length: 0\r\n\r\n",
+                                  seconds));
+}
+
+/// A gateway before one backend server that refuses with Retry-After while that time
+/// lasts from its first answer, and then answers.
+struct backoff_fixture : gateway_fixture
+{
+    backoff_fixture(std::string_view retry_after, milliseconds lasts)
+        : server([this, retry_after, lasts](auto& stream, const auto& request) {
+              const auto now = steady::now();
+              {
+                  const std::lock_guard lock(mutex);
+                  arrivals.push_back(now);
+              }
+              if (now - arrivals.front() < lasts)
+              {
+                  refuse_with_retry_after(stream, retry_after);
+                  return;
+              }
+              answer_as_ready(stream, request);
+          })
+    {
+        add_backend(server, "i-1", "plain");
+    }
+
+    /// Returns the arrivals from half a second after the first answer to the end of the
+    /// time that it stated.
+    std::size_t arrivals_in(milliseconds lasts)
+    {
+        const std::lock_guard lock(mutex);
+        const auto begin = arrivals.front() + milliseconds{500};
+        const auto end = arrivals.front() + lasts;
+        return static_cast<std::size_t>(
+            std::count_if(arrivals.begin(), arrivals.end(),
+                          [&](time_point it) { return it >= begin && it < end; }));
+    }
+
+    std::mutex mutex;
+    std::vector<time_point> arrivals;
+    scripted_backend server;
+};
+
+} // namespace
+
+Test(gateway_availability, backend_server_that_asks_for_backoff_gets_at_most_two_requests)
+{
+    constexpr milliseconds backoff{2'000};
+    backoff_fixture it("2", backoff);
+    std::atomic<int> answered = 0;
+    std::vector<task> callers;
+    for (int i = 0; i < 20; ++i)
+    {
+        callers.emplace_back([&, caller = std::make_shared<tcp_stream>(it.connect())] {
+            send_text(*caller, gateway_fixture::request("/safe/x"));
+            answered += gateway_fixture::read_answer(*caller).head.status == 200 ? 1 : 0;
+        });
+        std::this_thread::sleep_for(milliseconds{95});
+    }
+    for (auto& one : callers)
+    {
+        one.join();
+    }
+    cr_assert_leq(it.arrivals_in(backoff), 2U);
+    cr_assert_eq(answered, 20, "requests that waited must be served afterwards");
+}
+
+Test(gateway_availability, request_refused_with_short_retry_after_is_served_at_its_end)
+{
+    backoff_fixture it("0.7", milliseconds{700});
+    const auto began = steady::now();
+    cr_assert_eq(it.send_request("/once/x").head.status, 200);
+    const auto elapsed = steady::now() - began;
+    cr_assert_geq(elapsed, milliseconds{700});
+    cr_assert_lt(elapsed, milliseconds{2'000}, "must not wait for the queue timeout");
+}
+
+Test(gateway_availability,
+     request_is_refused_at_once_if_no_backend_server_returns_in_time)
+{
+    constexpr double stated_s = 30;
+    backoff_fixture it("30", seconds{30});
+    for (int i = 0; i < 2; ++i)
+    {
+        const auto began = steady::now();
+        const auto answer = it.send_request("/once/x");
+        cr_assert_eq(answer.head.status, 503);
+        cr_assert_lt(steady::now() - began, seconds{1});
+        const auto retry_after = std::stod(std::string(answer.head.value("Retry-After")));
+        cr_assert_gt(retry_after, stated_s - 2);
+    }
+    cr_assert_eq(it.server.requests().size(), 1U);
+}
+
+Test(gateway_availability, waiting_request_is_refused_once_the_only_backend_server_is_out)
+{
+    const auto refuse = open_event_fd();
+    const scripted_backend server([&](auto& stream, const auto&) {
+        wait_readable(refuse.get(), -1, steady::now() + seconds{5});
+        refuse_with_retry_after(stream, "30");
+    });
+    gateway_fixture gateway;
+    gateway.add_backend(server, "i-1", "plain");
+    std::vector<tcp_stream> callers;
+    for (int i = 0; i < 6; ++i) // four run, two wait
+    {
+        callers.push_back(gateway.connect());
+        send_text(callers.back(), gateway_fixture::request("/once/x"));
+    }
+    while (gateway.state->dispatch.waiting() < 2)
+    {
+        std::this_thread::sleep_for(milliseconds{1});
+    }
+    signal_event_fd(refuse);
+    const auto began = steady::now();
+    for (auto& caller : callers)
+    {
+        cr_assert_eq(gateway_fixture::read_answer(caller).head.status, 503);
+    }
+    cr_assert_lt(steady::now() - began, seconds{1});
+}
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -151,6 +151,45 @@
                   "answers another request");
 }
 
+Test(platform_message_codec, backoff_is_read_from_refusals_of_the_backend_server)
+{
+    const header_field refused{"Not-Run", "1"};
+    const header_field retry{"retry-after", "2"};
+    const auto backoff = [](const message_head& it) {
+        return platform::decode_notice(it, "r1").backoff;
+    };
+    const seconds stated{2};
+    cr_assert_eq(backoff(head_of(503, {refused, retry})), stated);
+    cr_assert_eq(
+        backoff(head_of(503, {{"Request-Id", "r1"}, {"Response-Stamp", "s"}, retry})),
+        stated);
+    cr_assert_eq(backoff(head_of(503, {retry})).count(), 0, "not signed");
+    cr_assert_eq(backoff(head_of(429, {refused, retry})).count(), 0);
+    cr_assert_eq(backoff(head_of(421, {refused, retry})).count(), 0);
+    cr_assert_eq(backoff(head_of(503, {{"Request-Id", "r2"}, refused, retry})).count(), 0,
+                 "answers another request");
+}
+
+Test(platform_message_codec, invalid_retry_after_is_ignored_and_an_absurd_one_is_bounded)
+{
+    const auto backoff = [](const char* text) {
+        const header_field retry{"Retry-After", text};
+        return platform::decode_notice(head_of(503, {{"Not-Run", "1"}, retry}), "r1")
+            .backoff;
+    };
+    cr_assert_eq(backoff("0.25"), milliseconds{250});
+    cr_assert_eq(backoff("1.0004"), milliseconds{1'001}, "never shorter than stated");
+    for (const char* it : {"", "0", "-1", "nan", "-inf", "soon", "2 s", "1e999",
+                           "Sat, 05 Dec 2026 07:00:00 GMT"})
+    {
+        cr_assert_eq(backoff(it).count(), 0, "%s", it);
+    }
+    for (const char* it : {"1e9", "inf", "1e300"})
+    {
+        cr_assert_eq(backoff(it), std::chrono::minutes{5}, "%s", it);
+    }
+}
+
 Test(configuration_codec, routes_services_and_customers_are_read)
 {
     const auto table = platform::decode_configuration(
--- a/tests/process/backend_registry_test.cpp
+++ b/tests/process/backend_registry_test.cpp
@@ -181,3 +181,58 @@
     cr_assert_not(it.registry.record_leaving(old)); // a late answer
     cr_assert_eq(it.eligible_count(start), 2U);
 }
+
+Test(backend_registry,
+     backend_server_that_asked_for_backoff_is_not_eligible_before_its_end)
+{
+    registry_fixture it;
+    cr_assert(
+        it.registry.record_backoff(registry_fixture::record("i-1"), start + seconds{2}));
+    cr_assert_eq(it.eligible_count(start + milliseconds{1'999}), 1U);
+    cr_assert_eq(it.eligible_count(start + seconds{2}), 2U);
+}
+
+Test(backend_registry, backoff_has_no_fall_back_if_all_others_are_ejected)
+{
+    registry_fixture it;
+    it.registry.record_backoff(registry_fixture::record("i-1"), start + seconds{2});
+    it.registry.record_failure("i-2", start);
+    cr_assert_eq(it.registry.eligible("model", start).at(0).backend->id, "i-2");
+    it.registry.record_backoff(registry_fixture::record("i-2"), start + seconds{1});
+    cr_assert_eq(it.eligible_count(start), 0U);
+    cr_assert_eq(*it.registry.next_backoff_end("model", start), start + seconds{1});
+}
+
+Test(backend_registry, shorter_backoff_does_not_replace_a_longer_one)
+{
+    registry_fixture it;
+    const auto record = registry_fixture::record("i-1");
+    it.registry.record_backoff(record, start + seconds{2});
+    cr_assert_not(it.registry.record_backoff(record, start + seconds{1}));
+    it.registry.record_success("i-1");
+    cr_assert_eq(it.eligible_count(start + milliseconds{1'500}), 1U);
+    cr_assert(it.registry.record_backoff(record, start + seconds{3}));
+    cr_assert_eq(it.eligible_count(start + milliseconds{2'500}), 1U);
+}
+
+Test(backend_registry, new_incarnation_ends_the_backoff_of_the_old_one)
+{
+    registry_fixture it;
+    const auto old = registry_fixture::record("i-1");
+    it.registry.record_backoff(old, start + seconds{9});
+    auto restarted = old;
+    restarted.start_time_ms = 2;
+    it.registry.upsert(restarted, start);
+    cr_assert_eq(it.eligible_count(start), 2U);
+    cr_assert_not(it.registry.record_backoff(old, start + seconds{9})); // a late answer
+    cr_assert_eq(it.eligible_count(start), 2U);
+}
+
+Test(backend_registry, leaving_backend_server_does_not_return_from_its_backoff)
+{
+    registry_fixture it;
+    const auto record = registry_fixture::record("i-1");
+    it.registry.record_backoff(record, start + seconds{2});
+    it.registry.record_leaving(record);
+    cr_assert_not(it.registry.next_backoff_end("model", start).has_value());
+}
--- a/tests/process/dispatcher_test.cpp
+++ b/tests/process/dispatcher_test.cpp
@@ -135,3 +135,76 @@
     cr_assert_not(it.dispatch.try_place("ann", it.request, start).has_value());
     cr_assert(it.dispatch.try_place("ann", it.request, start + seconds{2}).has_value());
 }
+
+namespace {
+
+/// The dispatcher's backend server may ask for backoff.
+struct backoff_fixture : dispatcher_fixture
+{
+    void ask_for_backoff(steady::duration backoff = seconds{2})
+    {
+        const backend_record record{"i-1", "plain", {"10.0.0.1", 80}, "z", 1, false, 1};
+        dispatch.update_registry(
+            start, [&](auto& it) { it.record_backoff(record, start + backoff); });
+    }
+};
+
+} // namespace
+
+Test(dispatcher, queued_request_is_placed_when_the_backoff_ends)
+{
+    backoff_fixture it;
+    it.ask_for_backoff();
+    auto queued = it.make_request("bob");
+    it.dispatch.enqueue(queued, start);
+    cr_assert_eq(it.dispatch.recheck_time(queued), start + seconds{2});
+    cr_assert_not(it.dispatch.serve(queued, start + seconds{1}));
+    cr_assert_not(dispatcher_fixture::is_woken(queued), "the wake is handled");
+    cr_assert(it.dispatch.serve(queued, start + seconds{2}));
+    cr_assert(it.dispatch.dequeue(queued, start + seconds{2}).has_value());
+}
+
+Test(dispatcher, backoff_that_begins_while_requests_wait_wakes_them)
+{
+    backoff_fixture it;
+    const auto place = it.dispatch.try_place("ann", it.request, start);
+    auto queued = it.make_request("bob");
+    it.dispatch.enqueue(queued, start);
+    cr_assert_eq(it.dispatch.recheck_time(queued), time_point::max());
+    it.ask_for_backoff();
+    cr_assert(dispatcher_fixture::is_woken(queued));
+    cr_assert_eq(it.dispatch.recheck_time(queued), start + seconds{2});
+    it.dispatch.release(*place, start);
+    cr_assert_not(it.dispatch.serve(queued, start));
+    it.dispatch.dequeue(queued, start);
+}
+
+Test(dispatcher, request_without_a_slot_at_the_end_of_the_backoff_waits_for_a_release)
+{
+    backoff_fixture it;
+    it.ask_for_backoff();
+    auto first = it.make_request("ann");
+    auto second = it.make_request("bob");
+    it.dispatch.enqueue(first, start);
+    it.dispatch.enqueue(second, start);
+    const auto end = start + seconds{2};
+    cr_assert(it.dispatch.serve(first, end));
+    cr_assert_not(it.dispatch.serve(second, end), "the only slot is taken");
+    const auto place = it.dispatch.dequeue(first, end);
+    it.dispatch.prefill_done(*place, end);
+    it.dispatch.release(*place, end);
+    cr_assert(dispatcher_fixture::is_woken(second));
+    cr_assert(it.dispatch.dequeue(second, end).has_value());
+}
+
+Test(dispatcher, unavailable_service_delays_the_expected_wait_to_the_end_of_the_backoff)
+{
+    backoff_fixture it;
+    constexpr milliseconds least{100};
+    cr_assert_eq(it.dispatch.expected_wait("plain", least, start), least);
+    cr_assert_not(it.dispatch.unavailable_until("plain", start).has_value());
+    it.ask_for_backoff();
+    cr_assert_eq(it.dispatch.expected_wait("plain", least, start), seconds{2});
+    cr_assert_eq(*it.dispatch.unavailable_until("plain", start), start + seconds{2});
+    cr_assert_not(it.dispatch.unavailable_until("plain", start + seconds{2}).has_value());
+}
