--- a/source/connection/forward_attempt.hpp
+++ b/source/connection/forward_attempt.hpp
@@ -6,7 +6,7 @@
 #include "connection/event_splitter.hpp"
 #include "connection/http_reader.hpp"
 #include "connection/memory_lease.hpp"
-#include "process/backend_record.hpp"
+#include "process/backend_notice.hpp"
 #include "process/byte_budget.hpp"
 #include "request/forward_options.hpp"
 #include "request/forwarded_request.hpp"
@@ -44,6 +44,7 @@
     milliseconds silence{0}; ///< Time without received bytes at the end of the attempt.
     bool oversized = false;  ///< The answer exceeded a limit on its bytes.
     bool broken_off = false; ///< The backend server closed or reset the connection.
+    bool backoff = false;    ///< The backend server may be tried again after some time.
     std::optional<time_point> first_event;
     milliseconds longest_pause{0}; ///< Longest gap between events.
 };
@@ -249,6 +250,7 @@
                 has_head_ = true;
                 result_.status = answer.head().status;
                 result_.kind = Codec::decode_answer(answer.head(), exchange_.request.id);
+                handle_notice(answer.head());
                 if (const auto early = early_end(answer.head()))
                 {
                     return finish(*early, "the backend server refused the request");
@@ -306,6 +308,18 @@
                                  exchange_.stream_head.value(media_type));
     }
 
+    /// A stream may run for long after its head, so the announcement is not left to the
+    /// result.
+    void handle_notice(const message_head& head)
+    {
+        const auto notice = Codec::decode_notice(head, exchange_.request.id);
+        result_.backoff = notice.backoff.count() > 0;
+        if (!notice.empty())
+        {
+            observer_.notice(notice, steady::now());
+        }
+    }
+
     /// Returns the end of the attempt if the head of the answer already determines it.
     std::optional<attempt_end> early_end(const message_head& head)
     {
--- a/source/connection/vm_list_client.cpp
+++ b/source/connection/vm_list_client.cpp
@@ -82,7 +82,7 @@
             log_ignored(problem.what());
         }
     }
-    etag_ = answer.etag;
+    etag_ = answer.head.value("ETag");
     return servers;
 }
 
--- a/source/process/attempt_monitor.hpp
+++ b/source/process/attempt_monitor.hpp
@@ -3,6 +3,7 @@
 /// silent.
 #pragma once
 
+#include "process/backend_notice.hpp"
 #include "process/gateway_state.hpp"
 #include "process/placement_guard.hpp"
 #include "request/forward_context.hpp"
@@ -24,6 +25,11 @@
 
     /// Records that the first event has arrived.
     void first_event() { held_.prefill_done(); }
+    /// Applies what the backend server says about its availability.
+    void notice(const backend_notice& notice, time_point now)
+    {
+        apply_notice(state_, held_.get().main.backend, notice, run_.call.request.id, now);
+    }
     /// Handles a silent backend server: returns whether another one takes over, for which
     /// a placement and a retry of the budget are then taken. A silence alone does not end
     /// an attempt, since a sound backend server may go on.
