A backend server that falls silent within an event keeps its request

What callers saw: a stream that ended in the middle, if its backend server had sent part of an event or a comment shortly before the limit on the pause passed. Cause: an attempt was given up at the limit, without looking whether another backend server could take over, if any byte had come in the last 250 ms. That was meant for servers that send bytes without end and no events. Evidence: gateway_silence/stream_silent_within_an_event_is_complete failed before, "The expression answer.complete is false". Change: whatever was received, an overdue event leads to the look for another backend server, and the attempt waits on if there is none; only one that has sent over 16 KiB since the last event is given up at once. Trickled bytes end with the deadline at the latest, as before.

--- a/source/connection/forward_attempt.hpp
+++ b/source/connection/forward_attempt.hpp
@@ -151,9 +151,8 @@
     // The memory that others hold for the attempt must be free 4 s later; two probes in a
     // row may be lost.
     static constexpr milliseconds lost_peer_timeout{3'000};
-    // A backend server is silent if it sent nothing for this long. One that sends bytes
-    // without an event is not silent but faulty.
-    static constexpr milliseconds min_silence{250};
+    // Bytes without an event after which a backend server is faulty, not only slow.
+    static constexpr std::size_t max_bytes_without_event = 16'384;
     // Interval of looking for another backend server while one is silent.
     static constexpr milliseconds take_over_interval{250};
     // Interval of looking at the caller's connection while an answer arrives.
@@ -183,7 +182,6 @@
                             : steady::now() + memory_lease<Codec>::renewal_interval;
         auto caller_checked_at = steady::now();
         last_bytes_at_ = caller_checked_at;
-        bool outwaited = false; // no other backend server took over from a silent one
         for (;;)
         {
             const auto until = std::min({event_deadline, exchange_.until, renew_at});
@@ -193,14 +191,11 @@
             if (woken == wake_cause::first)
             {
                 const auto now = steady::now();
-                if (now >= exchange_.until || (now >= event_deadline && !is_silent(now)))
+                if (now >= exchange_.until ||
+                    (now >= event_deadline && gives_up(event_deadline, now)))
                 {
                     return on_timeout(now);
                 }
-                if (std::exchange(outwaited, false))
-                {
-                    event_deadline = now + timeouts_.event_gap;
-                }
                 if (now - caller_checked_at >= caller_check_interval)
                 {
                     caller_checked_at = now;
@@ -234,15 +229,15 @@
             if (woken == wake_cause::timeout)
             {
                 const auto now = steady::now();
-                if (!is_silent(now) || now >= exchange_.until || observer_.take_over(now))
+                if (now >= exchange_.until || gives_up(event_deadline, now))
                 {
                     return on_timeout(now);
                 }
-                event_deadline = now + take_over_interval;
-                outwaited = true;
                 continue;
             }
+            const auto buffered = stream.buffered().size();
             const bool open = stream.receive();
+            bytes_without_event_ += stream.buffered().size() - buffered;
             last_bytes_at_ = steady::now();
             answer.parse(stream);
             if (answer.has_head() && !has_head_)
@@ -259,6 +254,7 @@
             if (has_head_ && forward_body(answer))
             {
                 event_deadline = steady::now() + timeouts_.event_gap;
+                bytes_without_event_ = 0;
             }
             if (exceeds_limits())
             {
@@ -282,9 +278,16 @@
         }
     }
 
-    [[nodiscard]] bool is_silent(time_point now) const
+    /// Handles an event that is overdue: returns whether the attempt ends, else extends
+    /// the deadline.
+    bool gives_up(time_point& event_deadline, time_point now)
     {
-        return now - last_bytes_at_ >= min_silence;
+        if (bytes_without_event_ > max_bytes_without_event || observer_.take_over(now))
+        {
+            return true;
+        }
+        event_deadline = now + take_over_interval;
+        return false;
     }
 
     attempt_result on_timeout(time_point now)
@@ -460,6 +463,7 @@
     Observer& observer_;
     time_point last_event_;
     time_point last_bytes_at_;
+    std::size_t bytes_without_event_ = 0;
     attempt_result result_;
     bool has_head_ = false;
     bool resumes_; ///< Whether another attempt has begun the caller's stream.
