One silence of a backend server counts as one stall, however many streams see it

What callers saw: load moved away from a sound engine for seconds after one silence of a second, and its neighbours, with more to prefill, fell silent in turn. Cause: each of its streams recorded a stall, and each record doubled the ejection: four streams kept it out for 3 s in place of 0.8 s. Evidence: backend_registry/silence_seen_by_several_streams_counts_as_one_stall failed before, "(several.eligible_count(end)) == (2U) is false". Change: a stall recorded while the backend server is ejected for a stall adds nothing.

--- a/source/process/backend_registry.cpp
+++ b/source/process/backend_registry.cpp
@@ -185,6 +185,11 @@
 {
     if (const auto it = backends_.find(id); it != backends_.end())
     {
+        if (now < it->second.ejected_until &&
+            it->second.consecutive_failures >= failures_per_stall)
+        {
+            return; // the same silence, seen by another stream
+        }
         it->second.consecutive_failures =
             std::max(it->second.consecutive_failures, failures_per_stall - 1);
         record_failure(id, now);
--- a/source/process/backend_registry.hpp
+++ b/source/process/backend_registry.hpp
@@ -47,6 +47,7 @@
     /// request; several in a row count as a failed attempt.
     void record_error_response(std::string_view id, time_point now);
     /// Records a backend server that stopped responding: ejects it for a longer time.
+    /// One that is ejected for a stall stays so for the time of the first report.
     void record_stall(std::string_view id, time_point now);
     /// Removes a backend server whose address now belongs to another incarnation.
     void remove_reassigned(std::string_view id);
--- a/tests/process/backend_registry_test.cpp
+++ b/tests/process/backend_registry_test.cpp
@@ -236,3 +236,17 @@
     it.registry.record_leaving(record);
     cr_assert_not(it.registry.next_backoff_end("model", start).has_value());
 }
+
+Test(backend_registry, silence_seen_by_several_streams_counts_as_one_stall)
+{
+    registry_fixture one;
+    registry_fixture several;
+    one.registry.record_stall("i-1", start);
+    for (int i = 0; i < 4; ++i)
+    {
+        several.registry.record_stall("i-1", start + milliseconds{i});
+    }
+    const auto end = start + milliseconds{900};
+    cr_assert_eq(one.eligible_count(end), 2U);
+    cr_assert_eq(several.eligible_count(end), 2U);
+}
