A silent stream is not moved to an ejected backend server

What callers saw: a stream cut although its backend server went on: the one that took over had failed before and refused the connection. Cause: if all other backend servers of a service are ejected, they are eligible as a last resort. For a request without any place that is right; a stream that still has its backend server gives up a likely answer for an unlikely one. Evidence: gateway_silence/silent_stream_is_not_moved_to_an_ejected_backend_server failed before, "The expression answer.complete is false". Change: a placement request may require a backend server that is not ejected, and the take-over does.

--- a/source/process/attempt_monitor.cpp
+++ b/source/process/attempt_monitor.cpp
@@ -18,6 +18,7 @@
         excluded.push_back(backend.id);
         auto wanted = wanted_;
         wanted.excluded = excluded;
+        wanted.requires_available = true;
         if (auto place = state_.dispatch.try_place(run_.customer, wanted, now))
         {
             auto granted =
--- a/source/process/backend_registry.cpp
+++ b/source/process/backend_registry.cpp
@@ -196,6 +196,12 @@
     }
 }
 
+bool backend_registry::is_ejected(std::string_view id, time_point now) const
+{
+    const auto it = backends_.find(id);
+    return it != backends_.end() && now < it->second.ejected_until;
+}
+
 void backend_registry::remove_reassigned(std::string_view id)
 {
     if (const auto it = backends_.find(id); it != backends_.end())
--- a/source/process/backend_registry.hpp
+++ b/source/process/backend_registry.hpp
@@ -49,6 +49,8 @@
     /// Records a backend server that stopped responding: ejects it for a longer time.
     /// One that is ejected for a stall stays so for the time of the first report.
     void record_stall(std::string_view id, time_point now);
+    /// Returns whether a backend server is ejected.
+    [[nodiscard]] bool is_ejected(std::string_view id, time_point now) const;
     /// Removes a backend server whose address now belongs to another incarnation.
     void remove_reassigned(std::string_view id);
     /// Records that a backend server announced that it leaves: it is not eligible any
--- a/source/process/dispatcher.cpp
+++ b/source/process/dispatcher.cpp
@@ -62,6 +62,11 @@
     }
     candidate_cache cache;
     auto place = find_placement(request, steady::duration{0}, cache, now);
+    if (place && request.requires_available &&
+        registry_.is_ejected(place->main.backend.id, now))
+    {
+        return std::nullopt;
+    }
     if (place)
     {
         charge(customer, *place, now);
--- a/source/process/placement.hpp
+++ b/source/process/placement.hpp
@@ -31,6 +31,7 @@
     std::uint64_t spread = 0;          ///< Hash that selects among equal backend servers.
     std::size_t gateways = 1;          ///< That place requests at the same time.
     bool accept_fewer_engines = false; ///< Set after a long time in the queue.
+    bool requires_available = false; ///< No placement if all backend servers are ejected.
     std::span<const std::string> excluded; ///< Backend servers where this request failed.
     std::span<const std::string> full; ///< Backend servers that refused a reservation.
 };
