A silent stream is moved as soon as the retry budget allows

What callers saw: a stream whose backend server had died without a close waited until its deadline, if the budget had been spent when the silence was noticed, although retries came free a moment later. Cause: the first refusal by the budget ended the looks for another backend server, since each look took a place, charged it to the customer and gave it back. Change: each look asks the budget first, and takes a place only if it has a retry.

--- a/source/process/attempt_monitor.cpp
+++ b/source/process/attempt_monitor.cpp
@@ -11,8 +11,8 @@
     const auto& backend = held_.get().main.backend;
     auto history = run_.history;
     history.may_have_run += 1;
-    if (!over_budget_ &&
-        may_retry(run_.call.matched_route, history, now, run_.call.until))
+    if (may_retry(run_.call.matched_route, history, now, run_.call.until) &&
+        state_.budgets.can_spend(backend.service, now))
     {
         auto excluded = run_.failed_backends;
         excluded.push_back(backend.id);
@@ -28,7 +28,6 @@
                 successor_ = std::move(granted);
                 return true;
             }
-            over_budget_ = true;
         }
     }
     if (!std::exchange(reported_, true))
--- a/source/process/attempt_monitor.hpp
+++ b/source/process/attempt_monitor.hpp
@@ -44,8 +44,7 @@
     const placement_request& wanted_;
     placement_guard& held_;
     std::unique_ptr<placement_guard> successor_;
-    bool over_budget_ = false; ///< The retry budget was spent.
-    bool reported_ = false;    ///< The silence was recorded and logged.
+    bool reported_ = false; ///< The silence was recorded and logged.
 };
 
 } // namespace pistachiopost
--- a/source/process/retry_budget.cpp
+++ b/source/process/retry_budget.cpp
@@ -46,6 +46,13 @@
     return true;
 }
 
+bool retry_budget::can_spend(time_point now, double reserve)
+{
+    const std::lock_guard lock(mutex_);
+    refill(now);
+    return balance_ >= 1 + reserve;
+}
+
 void retry_budget::refill(time_point now)
 {
     const std::chrono::duration<double> passed = now - last_refill_;
--- a/source/process/retry_budget.hpp
+++ b/source/process/retry_budget.hpp
@@ -25,6 +25,8 @@
     void set_rate(double base_per_second, double burst, time_point now);
     /// Takes one token; returns false if that leaves fewer than `reserve`.
     bool try_spend(time_point now, double reserve = 0);
+    /// Returns whether try_spend() would take a token.
+    bool can_spend(time_point now, double reserve = 0);
 
 private:
     void refill(time_point now);
--- a/source/process/service_retry_budgets.cpp
+++ b/source/process/service_retry_budgets.cpp
@@ -54,19 +54,31 @@
 bool service_retry_budgets::try_spend(std::string_view service, time_point now)
 {
     const std::lock_guard lock(mutex_);
-    // Until a retry is reported, all others may make one as well.
-    auto& count = own_count(service);
-    auto& unreported = unreported_retries_[count.service];
-    const auto reserve = static_cast<double>(unreported * (live_gateways_ - 1));
-    if (!budget_for(service, now).try_spend(now, reserve))
+    if (!budget_for(service, now).try_spend(now, reserve_for_others(service)))
     {
         return false;
     }
+    auto& count = own_count(service);
     ++count.retries;
-    ++unreported;
+    ++unreported_retries_[count.service];
     return true;
 }
 
+bool service_retry_budgets::can_spend(std::string_view service, time_point now)
+{
+    const std::lock_guard lock(mutex_);
+    return budget_for(service, now).can_spend(now, reserve_for_others(service));
+}
+
+/// Until a retry is reported, all others may make one as well.
+double service_retry_budgets::reserve_for_others(std::string_view service) const
+{
+    const auto it = unreported_retries_.find(service);
+    return it == unreported_retries_.end()
+               ? 0
+               : static_cast<double>(it->second * (live_gateways_ - 1));
+}
+
 std::vector<retry_count> service_retry_budgets::take_counts()
 {
     const std::lock_guard lock(mutex_);
--- a/source/process/service_retry_budgets.hpp
+++ b/source/process/service_retry_budgets.hpp
@@ -61,6 +61,8 @@
     void earn(std::string_view service, time_point now);
     /// Spends one retry; returns false if this gateway's share is exhausted.
     bool try_spend(std::string_view service, time_point now);
+    /// Returns whether try_spend() would spend one.
+    [[nodiscard]] bool can_spend(std::string_view service, time_point now);
 
 private:
     // Minimum number of gateways that the slack is divided among: the entry VMs of
@@ -78,6 +80,7 @@
     void apply_rates(time_point now);
     retry_budget& budget_for(std::string_view service, time_point now);
     retry_count& own_count(std::string_view service);
+    [[nodiscard]] double reserve_for_others(std::string_view service) const;
 
     mutable std::mutex mutex_;
     repeat_limits limits_;
