Logs of broken-off attempts name the parts of the prompt and the progress of the answer

Cause: the line of a failed attempt told neither which prompt parts the request had nor whether any of its answer had come, so a crashing part could not be told from one that was in many requests of a crashed backend server.

Change: platform/ decodes the list of prompt parts, all but the last, bounded to 64 and left empty when malformed; `attempt failed` gets parts, broken_off and delivered, `request ended` gets parts.

Tests: three of platform_message_codec, new with the decoder.

--- a/source/connection/forward_attempt.hpp
+++ b/source/connection/forward_attempt.hpp
@@ -43,6 +43,9 @@
     bool broken_off = false; ///< The backend server closed or reset the connection.
     std::optional<time_point> first_event;
     milliseconds longest_pause{0}; ///< Longest gap between events.
+
+    /// Returns whether part of the answer itself has arrived.
+    [[nodiscard]] bool delivered() const { return first_event || !body.empty(); }
 };
 
 /// State that lives as long as the request and is shared by all its attempts.
--- a/source/process/forward_log.cpp
+++ b/source/process/forward_log.cpp
@@ -2,6 +2,8 @@
 
 #include "process/logging.hpp"
 
+#include <fmt/ranges.h>
+
 namespace pistachiopost {
 
 namespace {
@@ -21,6 +23,11 @@
     return request.prompt ? request.prompt->prompt_tokens : 0;
 }
 
+std::string shared_parts(const forwarded_request& request)
+{
+    return fmt::format("{:x}", fmt::join(request.shared_parts, ","));
+}
+
 } // namespace
 
 void log_attempt_failed(const forward_context& run, const placement& place,
@@ -33,6 +40,9 @@
                {"fault", result.fault},
                {"status", to_count(static_cast<std::size_t>(result.status))},
                {"may_have_run", to_count(ran ? 1 : 0)},
+               {"broken_off", to_count(result.broken_off ? 1 : 0)},
+               {"delivered", to_count(result.delivered() ? 1 : 0)},
+               {"parts", shared_parts(run.call.request)},
                {"helpers", to_count(place.helpers.size())},
                {"blamed", result.blamed}});
 }
@@ -62,6 +72,7 @@
                {"route", run.call.matched_route.name},
                {"configuration", run.table.version()},
                {"prompt_tokens", prompt_tokens(run.call.request)},
+               {"parts", shared_parts(run.call.request)},
                {"may_have_run", to_count(run.history.may_have_run)},
                {"not_run", to_count(run.history.not_run)},
                {"first_event_ms", first},
--- a/source/request/forwarded_request.hpp
+++ b/source/request/forwarded_request.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace pistachiopost {
 
@@ -27,6 +28,8 @@
     std::string key;                     ///< API key that identifies the customer.
     std::optional<milliseconds> timeout; ///< How long the caller waits.
     std::optional<prompt_size> prompt;
+    /// Ids of the parts of the prompt that other requests may hold too, in order.
+    std::vector<std::uint64_t> shared_parts;
     std::optional<std::string> last_event_id; ///< Last event received.
 };
 
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -67,6 +67,44 @@
 
 } // namespace
 
+Test(platform_message_codec, all_parts_of_a_prompt_but_the_last_are_shared)
+{
+    using parts = std::vector<std::uint64_t>;
+    const auto decode = [](std::string_view list) {
+        message_head head;
+        head.fields = {{"Prompt-Prefix", std::string(list)}};
+        return platform::decode_request(head).shared_parts;
+    };
+    cr_assert(decode("5c1e07a2:800,91BD3f06:410, e4402b7d:250,1:2") ==
+              (parts{0x5c1e07a2, 0x91bd3f06, 0xe4402b7d}));
+    cr_assert(decode("ff5c1e07a25c1e07a3:800,1:2") == (parts{0x5c1e07a25c1e07a3}));
+    cr_assert(decode("5c1e07a2:800").empty());
+    cr_assert(decode("").empty());
+}
+
+Test(platform_message_codec, malformed_list_of_prompt_parts_is_left_empty)
+{
+    for (const char* list : {"5c:1,xyz:2,1:1", ":1,1:1", "5c,1:1", "5c:,1:1", "5c:-1,1:1",
+                             ",", ",,,", "0x5c:1,1:1", "5c:1;1:1,", "5c :1,1:1"})
+    {
+        message_head head;
+        head.fields = {{"Prompt-Prefix", list}};
+        cr_assert(platform::decode_request(head).shared_parts.empty(), "%s", list);
+    }
+}
+
+Test(platform_message_codec, endless_list_of_prompt_parts_is_bounded)
+{
+    message_head head;
+    std::string list;
+    for (int i = 0; i < 10'000; ++i)
+    {
+        list += "5c:1,";
+    }
+    head.fields = {{"Prompt-Prefix", list}};
+    cr_assert_eq(platform::decode_request(head).shared_parts.size(), 64U);
+}
+
 Test(platform_message_codec, request_headers_are_decoded)
 {
     message_head head;
