A prompt part that crashes backend servers is blocked at all gateways

What callers saw: requests with one deadly prompt part, no two alike, crashed one backend server after the other; others running there broke off with each.

Cause: crash reports were counted per fingerprint of path, customer and body. What crashes the servers was in the requests, not the request, so nothing was ever counted twice.

Evidence: gateway_crash/new_request_with_a_part_that_crashed_backend_servers_reaches_none failed on the code before ("The expression (it.received()) == (before) is false"). It failed in the same way, as did repeat_of_a_request_that_became_blocked_reaches_no_server ("(it.received()) == (1U)"), on this code with parts left out of the suspects.

Change: crash_tracker counts suspects: the request, and each prompt part but the last. A crash, told by backend server and start time, counts against the parts of requests whose answer was not yet in delivery; by half if not even a head had come, as then the request was probably waiting. Crashes less than 250 ms apart count once for parts. Successful answers of the last 3 s excuse a suspect, at all gateways. Three crashes block it: a part for five minutes, a request for one as before. Gateways tell each other open crashes, blocks with their remaining time, and clearances. New: the log line `blocked: ...`, the gauge pistachiopost_blocked_suspects. A refused request has a line `request ended` with the suspect in place of `request refused`.

Tests: the three of gateway_crash, 15 new of crash_tracker, four of peer_link, a seed for the fuzzer with all fields of a report. The gateway test now lists its servers with new start times after a crash, as the platform does for each start: crashes are told apart by them. The old tests of crash_tracker, peer_link and gateway_call check the same by the new functions. The load reports of older gateways are not understood, as after earlier changes of their fields.

--- a/source/connection/load_report_codec.cpp
+++ b/source/connection/load_report_codec.cpp
@@ -34,9 +34,32 @@
             static_cast<std::uint32_t>(it.load.unconfirmed_prefill_ms)};
 }
 
+json encode_subject(const suspect& it)
+{
+    return json::array({it.id, static_cast<std::uint32_t>(it.kind)});
+}
+
 json encode_crash(const crash_report& it)
 {
-    return json::array({it.fingerprint, it.backend});
+    return json::array({encode_subject(it.subject), it.crash.backend,
+                        it.crash.start_time_ms, it.answer_begun, it.age.count()});
+}
+
+json encode_block(const block_report& it)
+{
+    return json::array({encode_subject(it.subject), it.remaining.count()});
+}
+
+json encode_clearance(const clearance_report& it)
+{
+    return json::array({encode_subject(it.subject), it.age.count()});
+}
+
+json encode_crash_news(const crash_news& news)
+{
+    return json::array({encode_list(news.crashes, encode_crash),
+                        encode_list(news.blocks, encode_block),
+                        encode_list(news.clearances, encode_clearance)});
 }
 
 json encode_retries(const retry_count& it)
@@ -74,6 +97,42 @@
     return static_cast<std::uint32_t>(it);
 }
 
+milliseconds read_duration(const json& from)
+{
+    return milliseconds{read_count32(from)};
+}
+
+suspect read_subject(const json& from)
+{
+    const auto kind = read_count(from.at(1));
+    if (kind > static_cast<std::uint64_t>(suspect_kind::prompt_part))
+    {
+        throw codec_error("malformed load report: unknown kind of suspect");
+    }
+    return {read_count(from.at(0)), static_cast<suspect_kind>(kind)};
+}
+
+crash_news read_crash_news(const json& from)
+{
+    crash_news news;
+    for (const auto& it : from.at(0))
+    {
+        news.crashes.push_back({read_subject(it.at(0)),
+                                {it.at(1), it.at(2)},
+                                it.at(3),
+                                read_duration(it.at(4))});
+    }
+    for (const auto& it : from.at(1))
+    {
+        news.blocks.push_back({read_subject(it.at(0)), read_duration(it.at(1))});
+    }
+    for (const auto& it : from.at(2))
+    {
+        news.clearances.push_back({read_subject(it.at(0)), read_duration(it.at(1))});
+    }
+    return news;
+}
+
 store_status read_status(const json& from)
 {
     store_status it;
@@ -97,13 +156,12 @@
 
 std::string encode_load_report(const load_report_message& message)
 {
-    const auto body =
-        json::array({message.gateway, message.boot, message.sequence,
-                     encode_list(message.loads, encode_load),
-                     encode_list(message.crashes, encode_crash), message.zone,
-                     message.cores, message.is_digest, encode_status(message.store),
-                     encode_list(message.retries, encode_retries),
-                     encode_list(message.waiting, encode_waiting)});
+    const auto body = json::array(
+        {message.gateway, message.boot, message.sequence,
+         encode_list(message.loads, encode_load), encode_crash_news(message.crashes),
+         message.zone, message.cores, message.is_digest, encode_status(message.store),
+         encode_list(message.retries, encode_retries),
+         encode_list(message.waiting, encode_waiting)});
     const auto bytes = json::to_msgpack(body);
     return {bytes.begin(), bytes.end()};
 }
@@ -121,10 +179,7 @@
         {
             it.loads.push_back({load.at(0), read_load(load)});
         }
-        for (const auto& crash : body.at(4))
-        {
-            it.crashes.push_back({read_count(crash.at(0)), crash.at(1)});
-        }
+        it.crashes = read_crash_news(body.at(4));
         it.zone = body.at(5);
         it.cores = body.at(6);
         it.is_digest = body.at(7);
--- a/source/connection/peer_link.cpp
+++ b/source/connection/peer_link.cpp
@@ -3,6 +3,7 @@
 #include "connection/codec_error.hpp"
 #include "connection/load_report_codec.hpp"
 #include "connection/tcp_stream.hpp"
+#include "process/crash_log.hpp"
 #include "process/logging.hpp"
 
 #include <arpa/inet.h>
@@ -73,12 +74,13 @@
 void peer_link::send_report(time_point now)
 {
     sent_report next{dispatcher_.load_generation(), directory_.own_status(now),
-                     crashes_.recent(now), dispatcher_.zones_in_use(now), now};
+                     crashes_.generation(), dispatcher_.zones_in_use(now), now};
     const bool to_all =
         directory_.is_complete() &&
         (!sent_to_all_at_ || now - *sent_to_all_at_ >= report_to_all_interval);
     const bool changed = !last_ || next.load_generation != last_->load_generation ||
-                         next.store != last_->store || next.crashes != last_->crashes;
+                         next.store != last_->store ||
+                         next.crash_generation != last_->crash_generation;
     const bool due = changed || now - last_->sent_at >= heartbeat_interval;
     const auto newcomers = take_newcomers();
     if (!to_all && !due && newcomers.empty())
@@ -87,7 +89,7 @@
     }
     auto message = dispatcher_.report(now);
     message.store = next.store;
-    message.crashes = next.crashes;
+    message.crashes = crashes_.news(now);
     message.retries = budgets_.take_counts();
     if (to_all)
     {
@@ -132,7 +134,7 @@
     digest_sent_at_ = now;
     auto message = dispatcher_.digest(now);
     message.store = directory_.own_status(now);
-    message.crashes = crashes_.recent(now);
+    message.crashes = crashes_.news(now);
     send(std::move(message), receivers);
 }
 
@@ -197,9 +199,9 @@
     {
         budgets_.apply_counts(message.gateway, message.boot, message.retries, now);
     }
-    for (const auto& it : message.crashes)
+    for (const auto& it : crashes_.apply(message.crashes, now))
     {
-        crashes_.add(it, now);
+        log_blocked(it, message.gateway);
     }
     dispatcher_.apply_report(message, now);
 }
--- a/source/connection/peer_link.hpp
+++ b/source/connection/peer_link.hpp
@@ -1,9 +1,10 @@
 /// \file
 /// UDP exchange between gateways of the load that each has in flight, of digests between
-/// cells, and of the requests that crashed backend servers.
+/// cells, and of what crashes backend servers.
 #pragma once
 
 #include "connection/unique_fd.hpp"
+#include "process/crash_tracker.hpp"
 #include "process/dispatcher.hpp"
 #include "process/gateway_directory.hpp"
 #include "process/stop_flag.hpp"
@@ -37,7 +38,7 @@
     {
         std::uint64_t load_generation = 0;
         store_status store;
-        std::vector<crash_report> crashes;
+        std::uint64_t crash_generation = 0;
         std::set<std::string, std::less<>> zones;
         time_point sent_at;
     };
--- a/source/process/forward_service.cpp
+++ b/source/process/forward_service.cpp
@@ -1,5 +1,7 @@
 #include "process/forward_service.hpp"
 
+#include "process/crash_log.hpp"
+
 #include <xxhash.h>
 
 #include <algorithm>
@@ -28,6 +30,8 @@
 // wait for a third of their time at most, and those of calls have four seconds.
 constexpr milliseconds min_startup_retry_after{500};
 constexpr milliseconds max_startup_retry_after{3'000};
+// Engines distinguish ten ranks of urgency, 0 to 9.
+constexpr std::uint32_t max_urgency_rank = 9;
 
 } // namespace
 
@@ -101,4 +105,69 @@
     return {connect_timeout, first, gap};
 }
 
+forward_options make_forward_options(const forward_context& run, const placement& place)
+{
+    forward_options terms;
+    terms.backend = place.main.backend.id;
+    terms.customer = run.customer;
+    terms.priority = std::min(run.priority, max_urgency_rank);
+    terms.last_event_id =
+        run.call.events.last_id().value_or(run.call.request.last_event_id.value_or(""));
+    for (const auto& it : place.helpers)
+    {
+        terms.helpers.push_back({it.backend.address, {}});
+    }
+    return terms;
+}
+
+void record_crash(gateway_state& state, const forward_context& run,
+                  const backend_record& backend, const attempt_result& result,
+                  time_point now)
+{
+    auto progress = answer_progress::none;
+    if (result.delivered())
+    {
+        progress = answer_progress::delivered;
+    }
+    else if (result.kind == answer_kind::success)
+    {
+        progress = answer_progress::begun;
+    }
+    for (const auto& it : state.crashes.add_broken_attempt(
+             run.suspects, {backend.id, backend.start_time_ms}, progress, now))
+    {
+        log_blocked(it, state.settings.self.vm);
+    }
+}
+
+void record_backend_failure(backend_registry& registry, forward_context& run,
+                            const placement& place, const attempt_result& result,
+                            time_point now)
+{
+    const auto& id = place.main.backend.id;
+    if (!result.blamed.empty())
+    {
+        // The main engine is healthy and was blocked by this helper.
+        const auto* helper = registry.find_by_address(result.blamed);
+        run.failed_backends.push_back(helper != nullptr ? helper->id : id);
+        registry.record_stall(run.failed_backends.back(), now);
+    }
+    else if (result.kind == answer_kind::misdirected)
+    {
+        registry.remove_reassigned(id);
+    }
+    else if (result.end == attempt_end::answered)
+    {
+        registry.record_error_response(id, now);
+    }
+    else if (result.silent)
+    {
+        registry.record_stall(id, now);
+    }
+    else
+    {
+        registry.record_failure(id, now);
+    }
+}
+
 } // namespace pistachiopost
--- a/source/process/forward_service.hpp
+++ b/source/process/forward_service.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "connection/forward_attempt.hpp"
+#include "process/crash_log.hpp"
 #include "process/forward_log.hpp"
 #include "process/gateway_state.hpp"
 #include "process/placement_guard.hpp"
@@ -10,6 +11,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -43,6 +45,19 @@
 std::optional<service_grade> grade_request(const forward_context& run, bool answered,
                                            time_point now);
 
+/// Returns the options of an attempt at `place`.
+forward_options make_forward_options(const forward_context& run, const placement& place);
+
+/// Records that `backend` broke an attempt off.
+void record_crash(gateway_state& state, const forward_context& run,
+                  const backend_record& backend, const attempt_result& result,
+                  time_point now);
+
+/// Records a failed attempt against the backend server that caused it.
+void record_backend_failure(backend_registry& registry, forward_context& run,
+                            const placement& place, const attempt_result& result,
+                            time_point now);
+
 /// Handler of one request. `Codec` decodes and encodes message heads.
 template <typename Codec>
 class forward_service
@@ -90,11 +105,12 @@
         run.priority = customer != nullptr && customer->priority
                            ? *customer->priority
                            : matched_route->priority;
-        run.fingerprint = request_fingerprint(request.path, run.customer, received.body);
-        if (state_.crashes.is_blocked(run.fingerprint, arrived))
+        run.suspects =
+            suspects_of(request_fingerprint(request.path, run.customer, received.body),
+                        request.shared_parts);
+        if (const auto cause = state_.crashes.find_blocked(run.suspects, arrived))
         {
-            return refuse(response, request, 502, "backend servers crash on this request",
-                          "crashes_backends");
+            return finish_blocked(run, *cause);
         }
         return run_attempts(run);
     }
@@ -103,8 +119,6 @@
     // For requests without a deadline: the longest deadline that the platform's callers
     // send.
     static constexpr milliseconds default_timeout{15'000};
-    // Engines distinguish ten ranks of urgency, 0 to 9.
-    static constexpr std::uint32_t max_urgency_rank = 9;
     // Minimum time after which retrying a refused request is useful.
     static constexpr milliseconds min_retry_after{100};
 
@@ -129,6 +143,10 @@
         state_.budgets.earn(service, run.arrived);
         for (;;)
         {
+            if (const auto cause = find_blocked_part(run))
+            {
+                return finish_blocked(run, *cause);
+            }
             wanted.excluded = run.failed_backends;
             wanted.full = run.full_engines;
             auto place = acquire_placement(run, wanted);
@@ -138,8 +156,12 @@
             }
             run.queue_time = steady::now() - run.arrived;
             placement_guard held(state_.dispatch, std::move(*place));
+            if (const auto cause = find_blocked_part(run))
+            {
+                return finish_blocked(run, *cause);
+            }
             memory_lease<Codec> memory;
-            auto terms = make_terms(run, held.get());
+            auto terms = make_forward_options(run, held.get());
             if (!reserve_memory(run, held.get(), memory, terms))
             {
                 continue;
@@ -170,6 +192,15 @@
         }
     }
 
+    /// Attempts are limited for each request, so a request is refused at its arrival
+    /// only.
+    [[nodiscard]] std::optional<suspect>
+    find_blocked_part(const forward_context& run) const
+    {
+        return state_.crashes.find_blocked(std::span(run.suspects).subspan(1),
+                                           steady::now());
+    }
+
     bool try_spend_repeat(const forward_context& run, std::string_view service)
     {
         if (state_.budgets.try_spend(service, steady::now()))
@@ -228,21 +259,6 @@
         }
     }
 
-    forward_options make_terms(const forward_context& run, const placement& place) const
-    {
-        forward_options terms;
-        terms.backend = place.main.backend.id;
-        terms.customer = run.customer;
-        terms.priority = std::min(run.priority, max_urgency_rank);
-        terms.last_event_id = run.call.events.last_id().value_or(
-            run.call.request.last_event_id.value_or(""));
-        for (const auto& it : place.helpers)
-        {
-            terms.helpers.push_back({it.backend.address, {}});
-        }
-        return terms;
-    }
-
     /// Reserves memory as the placement requires; false if an engine refuses.
     bool reserve_memory(forward_context& run, const placement& place,
                         memory_lease<Codec>& memory, forward_options& terms)
@@ -311,7 +327,7 @@
         {
             state_.dispatch.update_registry(now,
                                             [&](auto& it) { it.record_success(id); });
-            state_.crashes.clear(run.fingerprint);
+            state_.crashes.record_success(run.suspects, now);
             return false;
         }
         if (run.out_of_time)
@@ -320,7 +336,7 @@
         }
         if (result.end == attempt_end::unknown && result.broken_off)
         {
-            state_.crashes.add({run.fingerprint, id}, now);
+            record_crash(state_, run, place.main.backend, result, now);
         }
         if (result.blamed.empty())
         {
@@ -332,40 +348,10 @@
         {
             state_.metrics.increment("oversized_answers");
         }
-        record_backend_failure(run, place, result, now);
-        return true;
-    }
-
-    /// Records a failed attempt against the backend server that caused it.
-    void record_backend_failure(forward_context& run, const placement& place,
-                                const attempt_result& result, time_point now)
-    {
-        const auto& id = place.main.backend.id;
         state_.dispatch.update_registry(now, [&](backend_registry& registry) {
-            if (!result.blamed.empty())
-            {
-                // The main engine is healthy and was blocked by this helper.
-                const auto* helper = registry.find_by_address(result.blamed);
-                run.failed_backends.push_back(helper != nullptr ? helper->id : id);
-                registry.record_stall(run.failed_backends.back(), now);
-            }
-            else if (result.kind == answer_kind::misdirected)
-            {
-                registry.remove_reassigned(id);
-            }
-            else if (result.end == attempt_end::answered)
-            {
-                registry.record_error_response(id, now);
-            }
-            else if (result.silent)
-            {
-                registry.record_stall(id, now);
-            }
-            else
-            {
-                registry.record_failure(id, now);
-            }
+            record_backend_failure(registry, run, place, result, now);
         });
+        return true;
     }
 
     bool send_answer(forward_context& run, const attempt_result& result)
@@ -412,6 +398,22 @@
         return finish(run, "failed", !response.closes());
     }
 
+    /// Completes a request that may not reach a backend server any more because of
+    /// `cause`.
+    bool finish_blocked(forward_context& run, const suspect& cause)
+    {
+        run.last_error = "backend servers crash on " + to_string(cause);
+        auto& response = run.call.response;
+        if (response.begun())
+        {
+            return finish(run, "broken_off", false);
+        }
+        response.send_error(502, "backend servers crash on this request");
+        state_.metrics.record_outcome("crashes_backends");
+        log_request_ended(run, "crashes_backends", steady::now());
+        return !response.closes();
+    }
+
     bool finish(const forward_context& run, std::string_view outcome, bool keep_alive)
     {
         const auto now = steady::now();
--- a/source/process/gateway_metrics.cpp
+++ b/source/process/gateway_metrics.cpp
@@ -58,9 +58,11 @@
                            "pistachiopost_waiting_requests {}\n"
                            "# TYPE pistachiopost_connections gauge\n"
                            "pistachiopost_connections {}\n"
+                           "# TYPE pistachiopost_blocked_suspects gauge\n"
+                           "pistachiopost_blocked_suspects {}\n"
                            "# TYPE pistachiopost_requests_total counter\n",
                            gauges.vm, gauges.time_s, gauges.version, gauges.waiting,
-                           gauges.connections);
+                           gauges.connections, gauges.blocked_suspects);
     for (const auto& [name, n] : outcomes_)
     {
         out +=
--- a/source/process/gateway_metrics.hpp
+++ b/source/process/gateway_metrics.hpp
@@ -16,10 +16,11 @@
 struct gateway_gauges
 {
     std::string_view vm;
-    double time_s = 0;           ///< Unix time.
-    std::uint64_t version = 0;   ///< Of the configuration in force.
-    std::size_t waiting = 0;     ///< Requests waiting for a placement.
-    std::size_t connections = 0; ///< Of callers.
+    double time_s = 0;                ///< Unix time.
+    std::uint64_t version = 0;        ///< Of the configuration in force.
+    std::size_t waiting = 0;          ///< Requests waiting for a placement.
+    std::size_t connections = 0;      ///< Of callers.
+    std::size_t blocked_suspects = 0; ///< Whose requests are refused.
 };
 
 /// The metrics of a gateway. Thread-safe; bounded in size.
--- a/source/process/gateway_process.hpp
+++ b/source/process/gateway_process.hpp
@@ -228,7 +228,8 @@
                 200, "text/plain; version=0.0.4",
                 state.metrics.text({state.settings.self.vm, unix_time.count(),
                                     state.routes.version(), state.dispatch.waiting(),
-                                    state.connections})};
+                                    state.connections,
+                                    state.crashes.blocked_count(steady::now())})};
         });
     });
     task serve_callers([&] { accept_callers<codec>(state, std::move(callers)); });
--- a/source/process/load_tracker.hpp
+++ b/source/process/load_tracker.hpp
@@ -2,7 +2,7 @@
 /// Tracks the load that this gateway and its peers put on each backend server.
 #pragma once
 
-#include "process/crash_tracker.hpp"
+#include "process/crash_news.hpp"
 #include "process/service_retry_budgets.hpp"
 #include "process/store_status.hpp"
 #include "request/time_types.hpp"
@@ -60,7 +60,7 @@
     bool is_digest = false;
     store_status store;
     std::vector<reported_load> loads;
-    std::vector<crash_report> crashes;
+    crash_news crashes;
     std::vector<retry_count> retries;  ///< Counts of the sender.
     std::vector<waiting_work> waiting; ///< Kinds of requests in the sender's queue.
 };
--- a/source/request/forward_context.hpp
+++ b/source/request/forward_context.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "connection/forward_attempt.hpp"
+#include "process/crash_news.hpp"
 #include "process/placement.hpp"
 #include "request/forward_retry.hpp"
 
@@ -21,7 +22,7 @@
     std::string customer;
     time_point arrived;
     std::uint32_t priority = 0;
-    std::uint64_t fingerprint = 0;
+    std::vector<suspect> suspects{}; ///< What may crash backend servers.
     attempt_history history{};
     std::vector<std::string> failed_backends{}; ///< Excluded from further attempts.
     std::vector<std::string> full_engines{};    ///< Refused a reservation.
--- a/tests/connection/peer_link_test.cpp
+++ b/tests/connection/peer_link_test.cpp
@@ -1,10 +1,12 @@
 /// A dozen gateways that exchange reports over UDP on the loopback interface.
+#include "connection/codec_error.hpp"
 #include "connection/load_report_codec.hpp"
 #include "connection/peer_link.hpp"
 #include "process/task.hpp"
 
 #include <criterion/criterion.h>
 #include <fmt/format.h>
+#include <nlohmann/json.hpp>
 
 #include <sys/socket.h>
 #include <unistd.h>
@@ -149,11 +151,90 @@
 {
     peer_fixture it;
     const auto now = steady::now();
-    it.nodes[0]->crashes.add({42, "i-1"}, now);
-    it.nodes[1]->crashes.add({42, "i-2"}, now);
-    it.nodes[2]->crashes.add({42, "i-3"}, now);
-    cr_assert(it.eventually(
-        [](node& one) { return one.crashes.is_blocked(42, steady::now()); }));
+    const std::vector<suspect> request{{42, suspect_kind::request}};
+    for (std::size_t i = 0; i < 3; ++i)
+    {
+        it.nodes[i]->crashes.add_broken_attempt(request, {fmt::format("i-{}", i), 1},
+                                                answer_progress::none, now);
+    }
+    cr_assert(it.eventually([&](node& one) {
+        return one.crashes.find_blocked(request, steady::now()).has_value();
+    }));
+}
+
+Test(peer_link, prompt_part_that_crashed_servers_at_several_gateways_is_blocked_at_all)
+{
+    peer_fixture it;
+    const std::vector<suspect> part{{42, suspect_kind::prompt_part}};
+    for (std::size_t i = 0; i < 3; ++i)
+    {
+        it.nodes[i]->crashes.add_broken_attempt(part, {"i-1", static_cast<int>(i)},
+                                                answer_progress::begun, steady::now());
+        std::this_thread::sleep_for(milliseconds{300});
+    }
+    cr_assert(it.eventually([&](node& one) {
+        return one.crashes.find_blocked(part, steady::now()).has_value();
+    }));
+}
+
+Test(peer_link, success_at_one_gateway_clears_a_prompt_part_at_all)
+{
+    peer_fixture it;
+    const std::vector<suspect> part{{42, suspect_kind::prompt_part}};
+    for (int i = 0; i < 3; ++i)
+    {
+        it.nodes[0]->crashes.add_broken_attempt(part, {"i-1", i}, answer_progress::begun,
+                                                steady::now());
+        std::this_thread::sleep_for(milliseconds{300});
+    }
+    const auto is_blocked = [&](node& one) {
+        return one.crashes.find_blocked(part, steady::now()).has_value();
+    };
+    cr_assert(it.eventually(is_blocked));
+    it.nodes[5]->crashes.record_success(part, steady::now());
+    cr_assert(it.eventually([&](node& one) { return !is_blocked(one); }));
+}
+
+Test(peer_link, report_of_crashes_is_decoded_as_it_was_encoded)
+{
+    load_report_message message;
+    message.gateway = "g-1";
+    message.crashes.crashes = {
+        {{7, suspect_kind::request}, {"i-1", 1'700'000'000'000}, false, milliseconds{20}},
+        {{~0ULL, suspect_kind::prompt_part}, {"i-2", 0}, true, milliseconds{0}}};
+    message.crashes.blocks = {{{8, suspect_kind::prompt_part}, milliseconds{299'000}}};
+    message.crashes.clearances = {{{9, suspect_kind::request}, milliseconds{5}}};
+    cr_assert(decode_load_report(encode_load_report(message)).crashes == message.crashes);
+}
+
+Test(peer_link, malformed_report_of_crashes_is_rejected)
+{
+    const auto is_rejected = [](const nlohmann::json& crashes) {
+        load_report_message message;
+        const auto good = encode_load_report(message);
+        auto body = nlohmann::json::from_msgpack(good);
+        body[4] = crashes;
+        const auto bytes = nlohmann::json::to_msgpack(body);
+        try
+        {
+            decode_load_report(std::string(bytes.begin(), bytes.end()));
+        }
+        catch (const codec_error&)
+        {
+            return true;
+        }
+        return false;
+    };
+    using nlohmann::json;
+    const auto empty = json::array();
+    cr_assert_not(is_rejected({empty, empty, empty}));
+    cr_assert(is_rejected({empty, empty}));
+    cr_assert(is_rejected({json::array({1}), empty, empty}));
+    // An unknown kind, a negative age, a lifetime above 32 bits, a text for a number.
+    cr_assert(is_rejected({json::array({{{1, 2}, "i-1", 0, true, 0}}), empty, empty}));
+    cr_assert(is_rejected({json::array({{{1, 1}, "i-1", 0, true, -1}}), empty, empty}));
+    cr_assert(is_rejected({empty, json::array({{{1, 1}, 5'000'000'000}}), empty}));
+    cr_assert(is_rejected({empty, empty, json::array({{{1, 1}, "x"}})}));
 }
 
 Test(peer_link, retries_of_one_gateway_use_up_the_budget_of_all)
--- a/tests/gateway/gateway_call_test.cpp
+++ b/tests/gateway/gateway_call_test.cpp
@@ -162,7 +162,8 @@
     const auto fingerprint = request_fingerprint("/safe/x", "ann", "poison");
     for (const char* it : {"i-7", "i-8", "i-9"})
     {
-        gateway.state->crashes.add({fingerprint, it}, now);
+        gateway.state->crashes.add_broken_attempt(suspects_of(fingerprint, {}), {it, 1},
+                                                  answer_progress::none, now);
     }
     cr_assert_eq(gateway.send_request("/safe/x", {}, "poison").head.status, 502);
     cr_assert(server.requests().empty());
--- a/tests/gateway/gateway_crash_test.cpp
+++ b/tests/gateway/gateway_crash_test.cpp
@@ -27,7 +27,25 @@
         for (int i = 0; i < 9; ++i)
         {
             servers.push_back(std::make_unique<scripted_backend>(crash_on_part));
-            add_backend(*servers.back(), fmt::format("i-{}", i), "model");
+        }
+        start_servers();
+    }
+
+    /// Lists each backend server with a new start time.
+    void start_servers()
+    {
+        ++starts;
+        for (std::size_t i = 0; i < servers.size(); ++i)
+        {
+            const backend_record record{fmt::format("i-{}", i),
+                                        "model",
+                                        servers[i]->address,
+                                        "z",
+                                        4,
+                                        false,
+                                        starts};
+            state->dispatch.update_registry(
+                steady::now(), [&](auto& it) { it.upsert(record, steady::now()); });
         }
     }
 
@@ -47,6 +65,7 @@
         {
             send_prompt("c0:500,dead01:300");
             std::this_thread::sleep_for(milliseconds{300});
+            start_servers();
         }
     }
 
@@ -61,6 +80,7 @@
     }
 
     std::vector<std::unique_ptr<scripted_backend>> servers;
+    std::int64_t starts = 0;
     int sent = 0;
 };
 
@@ -75,3 +95,27 @@
     cr_assert_eq(it.send_prompt("c1:200,dead01:300,b7:20").head.status, 502);
     cr_assert_eq(it.received(), before);
 }
+
+Test(gateway_crash, request_that_shares_the_other_parts_with_a_crashing_one_is_served)
+{
+    crash_fixture it;
+    it.send_prompt("c0:500");
+    it.crash_servers();
+    const auto answer = it.send_prompt("c0:500,5a:300");
+    cr_assert_eq(answer.head.status, 200);
+    cr_assert(answer.complete);
+}
+
+Test(gateway_crash, repeat_of_a_request_that_became_blocked_reaches_no_server)
+{
+    crash_fixture it;
+    const std::vector<suspect> part{{0xdead01, suspect_kind::prompt_part}};
+    const auto now = steady::now();
+    for (int i = 0; i < 2; ++i)
+    {
+        it.state->crashes.add_broken_attempt(part, {"i-90", i}, answer_progress::begun,
+                                             now - seconds{2 - i});
+    }
+    cr_assert_eq(it.send_prompt("dead01:300").head.status, 502);
+    cr_assert_eq(it.received(), 1U);
+}
--- a/utilities/check-layers.sh
+++ b/utilities/check-layers.sh
@@ -21,7 +21,7 @@
 decision_files="$decision_files source/process/subset.* source/process/claim_batcher.hpp source/process/entry_router.hpp"
 decision_files="$decision_files source/process/load_tracker.* source/process/placement.* source/process/dispatcher.*"
 decision_files="$decision_files source/process/service_retry_budgets.* source/process/response_delay_estimator.*"
-decision_files="$decision_files source/process/burn_report.* source/process/prompt_placement.*"
+decision_files="$decision_files source/process/burn_report.* source/process/prompt_placement.* source/process/crash_tracker.*"
 violations=$(grep -rnE "$clock_reads" $decision_files || true)
 if [ -n "$violations" ]; then
   echo "decision code must take the current time as an argument:" >&2
