--- a/source/process/crash_news.hpp
+++ b/source/process/crash_news.hpp
@@ -4,9 +4,9 @@
 
 #include "request/time_types.hpp"
 
-#include <compare>
 #include <cstdint>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace pistachiopost {
@@ -24,7 +24,11 @@
     std::uint64_t id = 0; ///< Fingerprint of the request, or id of the part.
     suspect_kind kind = suspect_kind::request;
 
-    auto operator<=>(const suspect&) const = default;
+    bool operator==(const suspect&) const = default;
+    bool operator<(const suspect& other) const
+    {
+        return std::tie(id, kind) < std::tie(other.id, other.kind);
+    }
 };
 
 /// One crash. A backend server may keep its id when it starts again.
@@ -33,7 +37,12 @@
     std::string backend;
     std::int64_t start_time_ms = 0; ///< Of the incarnation, Unix time; 0 if unknown.
 
-    auto operator<=>(const backend_crash&) const = default;
+    bool operator==(const backend_crash&) const = default;
+    bool operator<(const backend_crash& other) const
+    {
+        return std::tie(backend, start_time_ms) <
+               std::tie(other.backend, other.start_time_ms);
+    }
 };
 
 /// A crash in which a suspect was involved.
