--- a/source/connection/forward_attempt.hpp
+++ b/source/connection/forward_attempt.hpp
@@ -47,6 +47,9 @@
     bool backoff = false;    ///< The backend server may be tried again after some time.
     std::optional<time_point> first_event;
     milliseconds longest_pause{0}; ///< Longest gap between events.
+
+    /// Returns whether part of the answer itself has arrived.
+    [[nodiscard]] bool delivered() const { return first_event || !body.empty(); }
 };
 
 /// State that lives as long as the request and is shared by all its attempts.
--- a/source/process/forward_service.hpp
+++ b/source/process/forward_service.hpp
@@ -4,6 +4,7 @@
 
 #include "connection/forward_attempt.hpp"
 #include "process/attempt_monitor.hpp"
+#include "process/crash_log.hpp"
 #include "process/forward_log.hpp"
 #include "process/gateway_state.hpp"
 #include "process/placement_guard.hpp"
@@ -11,6 +12,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -52,6 +54,16 @@
 /// begins.
 forward_options make_terms(const forward_context& run, const placement& place);
 
+/// Records that `backend` broke an attempt off.
+void record_crash(gateway_state& state, const forward_context& run,
+                  const backend_record& backend, const attempt_result& result,
+                  time_point now);
+
+/// Records a failed attempt against the backend server that caused it.
+void record_backend_failure(backend_registry& registry, forward_context& run,
+                            const placement& place, const attempt_result& result,
+                            time_point now);
+
 /// Handler of one request. `Codec` decodes and encodes message heads.
 template <typename Codec>
 class forward_service
@@ -99,11 +111,12 @@
         run.priority = customer != nullptr && customer->priority
                            ? *customer->priority
                            : matched_route->priority;
-        run.fingerprint = request_fingerprint(request.path, run.customer, received.body);
-        if (state_.crashes.is_blocked(run.fingerprint, arrived))
+        run.suspects =
+            suspects_of(request_fingerprint(request.path, run.customer, received.body),
+                        request.shared_parts);
+        if (const auto cause = state_.crashes.find_blocked(run.suspects, arrived))
         {
-            return refuse(response, request, 502, "backend servers crash on this request",
-                          "crashes_backends");
+            return finish_blocked(run, *cause);
         }
         try
         {
@@ -135,6 +148,10 @@
         std::unique_ptr<placement_guard> successor;
         for (;;)
         {
+            if (const auto cause = find_blocked_part(run))
+            {
+                return finish_blocked(run, *cause);
+            }
             wanted.excluded = run.failed_backends;
             wanted.full = run.full_engines;
             const auto held =
@@ -144,6 +161,10 @@
                 return finish_unanswered(run);
             }
             run.queue_time = steady::now() - run.arrived;
+            if (const auto cause = find_blocked_part(run))
+            {
+                return finish_blocked(run, *cause);
+            }
             memory_lease<Codec> memory(on_notice);
             auto terms = make_terms(run, held->get());
             if (!reserve_memory(run, held->get(), memory, terms))
@@ -179,6 +200,15 @@
         }
     }
 
+    /// Attempts are limited for each request, so a request is refused at its arrival
+    /// only.
+    [[nodiscard]] std::optional<suspect>
+    find_blocked_part(const forward_context& run) const
+    {
+        return state_.crashes.find_blocked(std::span(run.suspects).subspan(1),
+                                           steady::now());
+    }
+
     bool try_spend_repeat(const forward_context& run, std::string_view service)
     {
         if (state_.budgets.try_spend(service, steady::now()))
@@ -336,7 +366,7 @@
         {
             state_.dispatch.update_registry(now,
                                             [&](auto& it) { it.record_success(id); });
-            state_.crashes.clear(run.fingerprint);
+            state_.crashes.record_success(run.suspects, now);
             return false;
         }
         if (run.out_of_time)
@@ -345,7 +375,7 @@
         }
         if (result.end == attempt_end::unknown && result.broken_off)
         {
-            state_.crashes.add({run.fingerprint, id}, now);
+            record_crash(state_, run, place.main.backend, result, now);
         }
         if (result.blamed.empty() && !result.backoff)
         {
@@ -357,40 +387,10 @@
         {
             state_.metrics.increment("oversized_answers");
         }
-        record_backend_failure(run, place, result, now);
-        return true;
-    }
-
-    /// Records a failed attempt against the backend server that caused it.
-    void record_backend_failure(forward_context& run, const placement& place,
-                                const attempt_result& result, time_point now)
-    {
-        const auto& id = place.main.backend.id;
         state_.dispatch.update_registry(now, [&](backend_registry& registry) {
-            if (!result.blamed.empty())
-            {
-                // The main engine is healthy and was blocked by this helper.
-                const auto* helper = registry.find_by_address(result.blamed);
-                run.failed_backends.push_back(helper != nullptr ? helper->id : id);
-                registry.record_stall(run.failed_backends.back(), now);
-            }
-            else if (result.kind == answer_kind::misdirected)
-            {
-                registry.remove_reassigned(id);
-            }
-            else if (result.end == attempt_end::answered)
-            {
-                registry.record_error_response(id, now);
-            }
-            else if (result.silent)
-            {
-                registry.record_stall(id, now);
-            }
-            else
-            {
-                registry.record_failure(id, now);
-            }
+            record_backend_failure(registry, run, place, result, now);
         });
+        return true;
     }
 
     bool send_answer(forward_context& run, const attempt_result& result)
@@ -444,6 +444,22 @@
         return finish(run, "failed", !response.closes());
     }
 
+    /// Completes a request that may not reach a backend server any more because of
+    /// `cause`.
+    bool finish_blocked(forward_context& run, const suspect& cause)
+    {
+        run.last_error = "backend servers crash on " + to_string(cause);
+        auto& response = run.call.response;
+        if (response.begun())
+        {
+            return finish(run, "broken_off", false);
+        }
+        response.send_error(502, "backend servers crash on this request");
+        state_.metrics.record_outcome("crashes_backends");
+        log_request_ended(run, "crashes_backends", steady::now());
+        return !response.closes();
+    }
+
     bool finish(const forward_context& run, std::string_view outcome, bool keep_alive)
     {
         const auto now = steady::now();
