A late refusal of an engine does not meet the next attempt

What callers saw: an engine wrote a refusal once more on its kept connection, after an answer. The agent took it for the answer to its next attempt and reported that one as not run; the request went to a second engine while the first one ran it.

Cause: an engine's connection was kept for the next attempt, and the HTTP library uses it again although bytes wait on it. A refusal of an engine bears no id.

Evidence: refusal_written_after_an_answer_is_not_taken_for_the_next_one failed before (the second attempt ended with a refusal). With the refusal in the same segment as the answer it passed before, as the library drops its buffer.

Change: each attempt has a connection of its own, as calls of plain services have. The engine is on the VM of its agent.

--- a/source/connection/engine_backend.cpp
+++ b/source/connection/engine_backend.cpp
@@ -140,7 +140,8 @@
         : remote(std::move(engine)), owner(std::move(owner_id)), hang_timeout(timeout),
           client(remote.address, remote.port), control(remote, control_timeout)
     {
-        client.set_keep_alive(true);
+        // One connection an attempt: a refusal that the engine sends late must not meet
+        // the next attempt, and it bears no id.
         client.set_tcp_nodelay(true);
         client.set_connection_timeout(connect_timeout);
     }
