--- a/tests/fuzz/main.cpp
+++ b/tests/fuzz/main.cpp
@@ -36,10 +36,13 @@
     void (*run)(std::string_view, mutator&);
 };
 
-constexpr std::array targets{
-    target{"caller", fuzz_caller}, target{"backend", fuzz_backend},
-    target{"configuration", fuzz_configuration}, target{"backend_row", fuzz_backend_row},
-    target{"load_report", fuzz_load_report}};
+constexpr std::array targets{target{"caller", fuzz_caller},
+                             target{"backend", fuzz_backend},
+                             target{"configuration", fuzz_configuration},
+                             target{"backend_row", fuzz_backend_row},
+                             target{"load_report", fuzz_load_report},
+                             target{"relay", fuzz_relay},
+                             target{"gateway_row", fuzz_gateway_row}};
 
 std::string current_input; // read by the handler of SIGABRT
 
--- a/tests/fuzz/targets.cpp
+++ b/tests/fuzz/targets.cpp
@@ -2,8 +2,10 @@
 
 #include "connection/codec_error.hpp"
 #include "connection/event_splitter.hpp"
+#include "connection/gateway_record_codec.hpp"
 #include "connection/http_reader.hpp"
 #include "connection/load_report_codec.hpp"
+#include "connection/relay_codec.hpp"
 #include "platform/configuration_codec.hpp"
 #include "platform/message_codec.hpp"
 
@@ -182,4 +184,42 @@
     }
 }
 
+void fuzz_relay(std::string_view bytes, mutator& /*choices*/)
+{
+    try
+    {
+        const auto first = decode_row_batch(bytes);
+        const auto reparsed = decode_row_batch(encode_row_batch(first));
+        require(first.version == reparsed.version,
+                "the version is unchanged by a round trip");
+        require(first.rows.size() == reparsed.rows.size(),
+                "the number of rows is unchanged by a round trip");
+    }
+    catch (const codec_error& it)
+    {
+        require(*it.what() != '\0', "a rejected answer has an error message");
+    }
+    try
+    {
+        decode_relay_request(bytes);
+    }
+    catch (const codec_error& it)
+    {
+        require(*it.what() != '\0', "a rejected request has an error message");
+    }
+}
+
+void fuzz_gateway_row(std::string_view bytes, mutator& /*choices*/)
+{
+    try
+    {
+        const auto record = decode_gateway_record("g-1", bytes);
+        require(record.address.port != 0, "the port is not 0");
+    }
+    catch (const codec_error& it)
+    {
+        require(*it.what() != '\0', "a rejected row has an error message");
+    }
+}
+
 } // namespace pistachiopost
--- a/tests/fuzz/targets.hpp
+++ b/tests/fuzz/targets.hpp
@@ -33,4 +33,11 @@
 /// Parses a datagram of a peer. An accepted report must survive an encoding round trip.
 void fuzz_load_report(std::string_view bytes, mutator& choices);
 
+/// Parses the request and the answer of a relay. An accepted one must survive an encoding
+/// round trip.
+void fuzz_relay(std::string_view bytes, mutator& choices);
+
+/// Parses the row of a gateway, which is usable or rejected with codec_error.
+void fuzz_gateway_row(std::string_view bytes, mutator& choices);
+
 } // namespace pistachiopost
--- a/utilities/fuzz.sh
+++ b/utilities/fuzz.sh
@@ -10,7 +10,7 @@
 cmake --build --preset release --target fuzz >/dev/null
 for ((i = 0; i < seeds; ++i)); do
   seed=$RANDOM$RANDOM
-  for target in caller backend configuration backend_row load_report; do
+  for target in caller backend configuration backend_row load_report relay gateway_row; do
     echo "$target, seed $seed:"
     build/release/tests/fuzz "$target" "tests/fuzz/corpus/$target" "$seed" "$runs"
   done
