A load report whose cores are not a finite number is rejected

What callers saw: nothing; the behaviour was undefined. Gateways are ordered by their cores, and one report with NaN leaves no order to sort by.

Cause: the codec took any number.

Change: cores must be finite and not negative.

--- a/source/connection/load_report_codec.cpp
+++ b/source/connection/load_report_codec.cpp
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cmath>
 #include <limits>
 
 namespace pistachiopost {
@@ -75,6 +76,17 @@
     return static_cast<std::uint32_t>(it);
 }
 
+/// Reads a share of processor cores. Gateways are ordered by it, which NaN would break.
+double read_cores(const json& from)
+{
+    const double it = from;
+    if (!std::isfinite(it) || it < 0)
+    {
+        throw codec_error("malformed load report: the cores are not a finite number");
+    }
+    return it;
+}
+
 store_status read_status(const json& from)
 {
     store_status it;
@@ -127,7 +139,7 @@
             it.crashes.push_back({read_count(crash.at(0)), crash.at(1)});
         }
         it.zone = body.at(5);
-        it.cores = body.at(6);
+        it.cores = read_cores(body.at(6));
         it.is_digest = body.at(7);
         it.store = read_status(body.at(8));
         for (const auto& one : body.at(9))
--- a/tests/connection/peer_link_test.cpp
+++ b/tests/connection/peer_link_test.cpp
@@ -1,4 +1,5 @@
 /// A dozen gateways that exchange reports over UDP on the loopback interface.
+#include "connection/codec_error.hpp"
 #include "connection/load_report_codec.hpp"
 #include "connection/peer_link.hpp"
 #include "process/task.hpp"
@@ -10,6 +11,7 @@
 #include <unistd.h>
 
 #include <functional>
+#include <limits>
 #include <memory>
 #include <thread>
 #include <vector>
@@ -211,6 +213,21 @@
         [](node& one) { return one.directory.size() == peer_fixture::count; }));
 }
 
+Test(peer_link, report_whose_cores_are_no_finite_number_is_rejected)
+{
+    load_report_message message;
+    message.gateway = "other";
+    message.cores = 0.5;
+    cr_assert_eq(decode_load_report(encode_load_report(message)).cores, 0.5);
+    for (const double cores : {std::numeric_limits<double>::quiet_NaN(),
+                               std::numeric_limits<double>::infinity(), -1.0})
+    {
+        message.cores = cores;
+        cr_assert_throw(decode_load_report(encode_load_report(message)), codec_error,
+                        "cores %f", cores);
+    }
+}
+
 Test(peer_link, late_and_repeated_reports_do_not_replace_newer_ones)
 {
     peer_fixture it;
