--- a/source/connection/load_report_codec.cpp
+++ b/source/connection/load_report_codec.cpp
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cmath>
 #include <limits>
 
 namespace pistachiopost {
@@ -134,6 +135,17 @@
     return news;
 }
 
+/// Reads a share of processor cores. Gateways are ordered by it, which NaN would break.
+double read_cores(const json& from)
+{
+    const double it = from;
+    if (!std::isfinite(it) || it < 0)
+    {
+        throw codec_error("malformed load report: the cores are not a finite number");
+    }
+    return it;
+}
+
 store_status read_status(const json& from)
 {
     store_status it;
@@ -182,7 +194,7 @@
         }
         it.crashes = read_crash_news(body.at(4));
         it.zone = body.at(5);
-        it.cores = body.at(6);
+        it.cores = read_cores(body.at(6));
         it.is_digest = body.at(7);
         it.store = read_status(body.at(8));
         for (const auto& one : body.at(9))
--- a/source/process/forward_service.cpp
+++ b/source/process/forward_service.cpp
@@ -19,10 +19,6 @@
 constexpr milliseconds min_gap_timeout{900};
 // Time after which an engine reports that its helper is dead.
 constexpr milliseconds helper_stall_time{1'500};
-// Shares of a caller's timeout after which a queued request becomes urgent, and after
-// which it is refused, so that the caller can retry within its deadline.
-constexpr double urgent_wait_share = 0.2;
-constexpr double max_wait_share = 0.7;
 // Factor by which the time to the first event may exceed its estimate.
 constexpr double estimate_error_factor = 2;
 // A starting gateway has loaded its configuration within about the minimum. After that
@@ -117,13 +113,6 @@
     return terms;
 }
 
-queue_timeouts queue_timeouts_for(const route& matched_route)
-{
-    const auto timeout_ms = static_cast<double>(matched_route.caller_timeout().count());
-    return {milliseconds{static_cast<milliseconds::rep>(timeout_ms * urgent_wait_share)},
-            milliseconds{static_cast<milliseconds::rep>(timeout_ms * max_wait_share)}};
-}
-
 attempt_timeouts attempt_timeouts_for(const route& matched_route, const placement& place,
                                       milliseconds delay)
 {
--- a/source/process/forward_service.hpp
+++ b/source/process/forward_service.hpp
@@ -8,6 +8,7 @@
 #include "process/forward_log.hpp"
 #include "process/gateway_state.hpp"
 #include "process/placement_guard.hpp"
+#include "process/placement_wait.hpp"
 #include "request/forward_context.hpp"
 
 #include <algorithm>
@@ -22,16 +23,6 @@
 /// deterministic in `id`.
 std::string_view select_service(const route& matched_route, std::string_view id);
 
-/// Limits on the time that a request spends in the queue.
-struct queue_timeouts
-{
-    milliseconds urgent_after; ///< From then on it takes precedence over late requests.
-    milliseconds max_wait;     ///< After this it is refused.
-};
-
-/// Returns the queue timeouts for requests of a route.
-queue_timeouts queue_timeouts_for(const route& matched_route);
-
 /// Returns the timeouts of an attempt at a service whose responses begin up to `delay`
 /// later than predicted.
 attempt_timeouts attempt_timeouts_for(const route& matched_route, const placement& place,
@@ -155,7 +146,7 @@
             wanted.excluded = run.failed_backends;
             wanted.full = run.full_engines;
             const auto held =
-                successor ? std::move(successor) : acquire_placement(run, wanted);
+                successor ? std::move(successor) : acquire_placement(state_, run, wanted);
             if (!held)
             {
                 return finish_unanswered(run);
@@ -221,83 +212,6 @@
         return false;
     }
 
-    /// Waits for a placement; null if the caller disconnected or the wait timed out.
-    std::unique_ptr<placement_guard> acquire_placement(forward_context& run,
-                                                       const placement_request& wanted)
-    {
-        auto place = state_.dispatch.try_place(run.customer, wanted, steady::now());
-        try
-        {
-            if (!place)
-            {
-                place = wait_for_placement(run, wanted);
-            }
-        }
-        catch (const connection_error& ex) // the process is out of descriptors
-        {
-            run.last_error = ex.what();
-        }
-        return place
-                   ? std::make_unique<placement_guard>(state_.dispatch, std::move(*place))
-                   : nullptr;
-    }
-
-    std::optional<placement> wait_for_placement(forward_context& run,
-                                                const placement_request& wanted)
-    {
-        const auto timeouts = queue_timeouts_for(run.call.matched_route);
-        const auto wait_deadline =
-            std::min(run.arrived + timeouts.max_wait, run.call.until);
-        queued_request queued(run.customer, wanted, run.arrived,
-                              run.arrived + run.call.matched_route.latency_target,
-                              run.arrived + timeouts.urgent_after);
-        state_.dispatch.enqueue(queued, steady::now());
-        int caller = run.call.caller.fd();
-        for (;;)
-        {
-            const auto back =
-                state_.dispatch.unavailable_until(wanted.service, steady::now());
-            const bool in_vain = back && *back >= wait_deadline;
-            const auto until =
-                std::min(wait_deadline, state_.dispatch.recheck_time(queued));
-            const auto woken = in_vain
-                                   ? wake_cause::timeout
-                                   : wait_readable(queued.wake().get(), caller, until);
-            if (woken != wake_cause::second)
-            {
-                const auto now = steady::now();
-                if (!in_vain && now < wait_deadline &&
-                    !state_.dispatch.serve(queued, now))
-                {
-                    continue;
-                }
-                auto place = state_.dispatch.dequeue(queued, now);
-                if (!place)
-                {
-                    run.out_of_time = !in_vain;
-                    run.last_error =
-                        in_vain
-                            ? "all backend servers asked for backoff until later"
-                            : "no placement at a backend server within the queue timeout";
-                    log_no_placement(
-                        run, wanted,
-                        state_.dispatch.snapshot(wanted.service, steady::now()));
-                }
-                return place;
-            }
-            if (peer_closed(caller))
-            {
-                run.last_error = "the caller closed the connection";
-                if (auto place = state_.dispatch.dequeue(queued, steady::now()))
-                {
-                    state_.dispatch.release(*place, steady::now());
-                }
-                return std::nullopt;
-            }
-            caller = -1; // pipelined request, read after this response
-        }
-    }
-
     /// Reserves memory as the placement requires; false if an engine refuses.
     bool reserve_memory(forward_context& run, const placement& place,
                         memory_lease<Codec>& memory, forward_options& terms)
--- /dev/null
+++ b/source/process/placement_wait.cpp
@@ -0,0 +1,95 @@
+#include "process/placement_wait.hpp"
+
+#include "process/forward_log.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace pistachiopost {
+
+namespace {
+
+// Shares of a caller's timeout after which a queued request becomes urgent, and after
+// which it is refused, so that the caller can retry within its deadline.
+constexpr double urgent_wait_share = 0.2;
+constexpr double max_wait_share = 0.7;
+
+std::optional<placement> wait_for_placement(gateway_state& state, forward_context& run,
+                                            const placement_request& wanted)
+{
+    const auto timeouts = queue_timeouts_for(run.call.matched_route);
+    const auto wait_deadline = std::min(run.arrived + timeouts.max_wait, run.call.until);
+    queued_request queued(run.customer, wanted, run.arrived,
+                          run.arrived + run.call.matched_route.latency_target,
+                          run.arrived + timeouts.urgent_after);
+    state.dispatch.enqueue(queued, steady::now());
+    int caller = run.call.caller.fd();
+    for (;;)
+    {
+        const auto back = state.dispatch.unavailable_until(wanted.service, steady::now());
+        const bool in_vain = back && *back >= wait_deadline;
+        const auto until = std::min(wait_deadline, state.dispatch.recheck_time(queued));
+        const auto woken = in_vain ? wake_cause::timeout
+                                   : wait_readable(queued.wake().get(), caller, until);
+        if (woken != wake_cause::second)
+        {
+            const auto now = steady::now();
+            if (!in_vain && now < wait_deadline && !state.dispatch.serve(queued, now))
+            {
+                continue;
+            }
+            auto place = state.dispatch.dequeue(queued, now);
+            if (!place)
+            {
+                run.out_of_time = !in_vain;
+                run.last_error =
+                    in_vain ? "all backend servers asked for backoff until later"
+                            : "no placement at a backend server within the queue timeout";
+                log_no_placement(run, wanted,
+                                 state.dispatch.snapshot(wanted.service, steady::now()));
+            }
+            return place;
+        }
+        if (peer_closed(caller))
+        {
+            run.last_error = "the caller closed the connection";
+            if (auto place = state.dispatch.dequeue(queued, steady::now()))
+            {
+                state.dispatch.release(*place, steady::now());
+            }
+            return std::nullopt;
+        }
+        caller = -1; // pipelined request, read after this response
+    }
+}
+
+} // namespace
+
+queue_timeouts queue_timeouts_for(const route& matched_route)
+{
+    const auto timeout_ms = static_cast<double>(matched_route.caller_timeout().count());
+    return {milliseconds{static_cast<milliseconds::rep>(timeout_ms * urgent_wait_share)},
+            milliseconds{static_cast<milliseconds::rep>(timeout_ms * max_wait_share)}};
+}
+
+std::unique_ptr<placement_guard> acquire_placement(gateway_state& state,
+                                                   forward_context& run,
+                                                   const placement_request& wanted)
+{
+    auto place = state.dispatch.try_place(run.customer, wanted, steady::now());
+    try
+    {
+        if (!place)
+        {
+            place = wait_for_placement(state, run, wanted);
+        }
+    }
+    catch (const connection_error& ex) // the process is out of descriptors
+    {
+        run.last_error = ex.what();
+    }
+    return place ? std::make_unique<placement_guard>(state.dispatch, std::move(*place))
+                 : nullptr;
+}
+
+} // namespace pistachiopost
