A stream that breaks off late waits for a place elsewhere

What callers saw: a stream of some seconds broke off with its backend server, and ended at once although another one had a place a moment later. Cause: the wait in the queue was limited from the arrival of the request, so a stream that had run for longer than that limit got no wait at all. Change: the continuation of a stream may wait 1 s from the break, within its deadline.

--- a/source/process/placement_wait.cpp
+++ b/source/process/placement_wait.cpp
@@ -13,12 +13,26 @@
 // which it is refused, so that the caller can retry within its deadline.
 constexpr double urgent_wait_share = 0.2;
 constexpr double max_wait_share = 0.7;
+// A stream that broke off may wait this long for its continuation: callers abort it two
+// seconds after its last event at the earliest.
+constexpr milliseconds max_continuation_wait{1'000};
+
+/// Returns until when a request that is queued at `now` waits for its placement.
+time_point wait_limit(const forward_context& run, time_point now)
+{
+    auto limit = run.arrived + queue_timeouts_for(run.call.matched_route).max_wait;
+    if (run.call.response.begun())
+    {
+        limit = std::max(limit, now + max_continuation_wait);
+    }
+    return std::min(limit, run.call.until);
+}
 
 std::optional<placement> wait_for_placement(gateway_state& state, forward_context& run,
                                             const placement_request& wanted)
 {
     const auto timeouts = queue_timeouts_for(run.call.matched_route);
-    const auto wait_deadline = std::min(run.arrived + timeouts.max_wait, run.call.until);
+    const auto wait_deadline = wait_limit(run, steady::now());
     queued_request queued(run.customer, wanted, run.arrived,
                           run.arrived + run.call.matched_route.latency_target,
                           run.arrived + timeouts.urgent_after);
