Requests still queued near the end of a stop are refused, not cut off

Cause: a request may wait in the queue for longer than the rest of the grace period, and the process exits without regard to it. Evidence: gateway_front/request_still_queued_near_the_end_of_a_stop_is_refused failed before: "answered_at < ends_at is false", the answer came 1.4 s after the exit was due. Change: 0.5 s before the exit the queue is closed; its requests, and later ones without a place, get 503 as not run.

--- a/source/process/dispatcher.hpp
+++ b/source/process/dispatcher.hpp
@@ -80,6 +80,15 @@
     /// Handles the wake or the recheck time of a request; returns whether it has its
     /// placement.
     bool serve(queued_request& queued, time_point now);
+    /// Wakes all queued requests, so that they notice a change that is not the queue's.
+    void wake_queued()
+    {
+        const std::lock_guard lock(mutex_);
+        for (const auto* it : queue_)
+        {
+            signal_event_fd(it->wake_);
+        }
+    }
     /// Removes a request from the queue; returns its placement if it got one.
     std::optional<placement> dequeue(queued_request& queued, time_point now);
     /// Records that the first event of this attempt has arrived.
--- a/source/process/gateway_process.hpp
+++ b/source/process/gateway_process.hpp
@@ -148,6 +148,8 @@
     constexpr milliseconds balancer_notice_time{2'500};
     // Part of the grace period reserved for the exit of the process.
     constexpr milliseconds exit_reserve{500};
+    // Part of the time before that in which queued requests are refused and answered.
+    constexpr milliseconds refusal_time{500};
     constexpr milliseconds poll_interval{50};
     const auto deadline = steady::now() + state.stop_grace.load() - exit_reserve;
     state.stopping = true;
@@ -155,6 +157,10 @@
     signal_event_fd(state.stop_fd);
     while (state.connections > 0 && steady::now() < deadline)
     {
+        if (!state.queue_closed && steady::now() >= deadline - refusal_time)
+        {
+            state.close_queue();
+        }
         stop.wait_for(poll_interval);
     }
 }
--- a/source/process/gateway_state.hpp
+++ b/source/process/gateway_state.hpp
@@ -49,12 +49,20 @@
     byte_budget answer_bytes; ///< Parts of answers held by all requests.
     unique_fd stop_fd;        ///< Readable once idle connections must close.
     const time_point started_at = steady::now();
-    std::atomic<bool> stopping = false; ///< A stop signal was received.
+    std::atomic<bool> stopping = false;     ///< A stop signal was received.
+    std::atomic<bool> queue_closed = false; ///< The process ends before a queued one ran.
     std::atomic<bool> backends_loaded = false;
     std::atomic<std::size_t> connections = 0;
     std::atomic<std::uint32_t> max_connections; ///< Limit on caller connections.
     std::atomic<milliseconds> stop_grace; ///< Time from the stop signal to the kill.
 
+    /// Refuses requests that wait for a placement, now and from now on.
+    void close_queue()
+    {
+        queue_closed = true;
+        dispatch.wake_queued();
+    }
+
     /// Returns whether the gateway is ready for new connections.
     [[nodiscard]] bool ready() const
     {
--- a/source/process/placement_wait.cpp
+++ b/source/process/placement_wait.cpp
@@ -41,7 +41,8 @@
     for (;;)
     {
         const auto back = state.dispatch.unavailable_until(wanted.service, steady::now());
-        const bool in_vain = back && *back >= wait_deadline;
+        const bool closed = state.queue_closed;
+        const bool in_vain = closed || (back && *back >= wait_deadline);
         const auto until = std::min(wait_deadline, state.dispatch.recheck_time(queued));
         const auto woken = in_vain ? wake_cause::timeout
                                    : wait_readable(queued.wake().get(), caller, until);
@@ -57,8 +58,10 @@
             {
                 run.out_of_time = !in_vain;
                 run.last_error =
-                    in_vain ? "all backend servers asked for backoff until later"
-                            : "no placement at a backend server within the queue timeout";
+                    closed ? "the gateway stops"
+                    : in_vain
+                        ? "all backend servers asked for backoff until later"
+                        : "no placement at a backend server within the queue timeout";
                 log_no_placement(run, wanted,
                                  state.dispatch.snapshot(wanted.service, steady::now()));
             }
--- a/tests/gateway/gateway_front_test.cpp
+++ b/tests/gateway/gateway_front_test.cpp
@@ -203,3 +203,22 @@
     cr_assert_eq(answer.head.status, 503);
     cr_assert_not_null(answer.head.find("Retry-After"));
 }
+
+Test(gateway_front, request_still_queued_near_the_end_of_a_stop_is_refused)
+{
+    gateway_fixture gateway;
+    gateway.state->stop_grace = milliseconds{3'500};
+    gateway.state->connections = 1;
+    stop_flag stop;
+    const auto ends_at = steady::now() + milliseconds{3'000};
+    task draining([&] { drain(*gateway.state, stop); });
+    std::this_thread::sleep_for(milliseconds{1'500});
+    auto caller = gateway.connect();
+    send_text(caller, gateway_fixture::request("/once/x"));
+    const auto answer = gateway_fixture::read_answer(caller);
+    const auto answered_at = steady::now();
+    gateway.state->connections = 0;
+    draining.join();
+    cr_assert_eq(answer.head.status, 503);
+    cr_assert(answered_at < ends_at);
+}
