A body that the backend server does not read in time is no crash of it

Cause: the time-out of the send arrives as the same error as a broken connection. Evidence: gateway_call/backend_server_that_does_not_read_a_body_in_time_has_not_crashed failed before: "(answer.head.status) == (504) is false". Change: an error at the deadline ends the attempt as out of time.

--- a/source/connection/forward_attempt.hpp
+++ b/source/connection/forward_attempt.hpp
@@ -79,6 +79,10 @@
         }
         catch (const connection_error& it)
         {
+            if (steady::now() >= exchange_.until) // sending has timed out
+            {
+                return finish(attempt_end::out_of_time, it.what());
+            }
             result_.broken_off = true;
             return finish(attempt_end::unknown, it.what());
         }
--- a/tests/gateway/gateway_call_test.cpp
+++ b/tests/gateway/gateway_call_test.cpp
@@ -222,3 +222,19 @@
     cr_assert_eq(gateway.send_request("/safe/x", {}, "poison").head.status, 502);
     cr_assert(server.requests().empty());
 }
+
+Test(gateway_call, backend_server_that_does_not_read_a_body_in_time_has_not_crashed)
+{
+    const auto listener = listen_tcp({"127.0.0.1", 0});
+    sockaddr_in addr{};
+    socklen_t n = sizeof addr;
+    getsockname(listener.get(), reinterpret_cast<sockaddr*>(&addr), &n);
+    gateway_fixture gateway;
+    const backend_record record{
+        "i-1", "plain", {"127.0.0.1", ntohs(addr.sin_port)}, "z", 4, false, 1};
+    gateway.state->dispatch.update_registry(
+        steady::now(), [&](auto& it) { it.upsert(record, steady::now()); });
+    const auto answer = gateway.send_request("/once/x", {}, std::string(4'000'000, 'x'));
+    cr_assert_eq(answer.head.status, 504);
+    cr_assert(gateway.state->crashes.news(steady::now()).crashes.empty());
+}
