--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -3,13 +3,10 @@
 import base64
 import json
 import os
-import queue
-import random
 import shutil
 import signal
 import socket
 import subprocess
-import sys
 import tempfile
 import threading
 import time
