--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -3,6 +3,7 @@
 import base64
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -31,10 +32,23 @@
             self.file.flush()
 
 
+ALLOTTED = set()
+
+
 def free_port():
-    with socket.socket() as sock:
-        sock.bind((LOOPBACK, 0))
-        return sock.getsockname()[1]
+    """Returns a port below the range from which the kernel takes those of clients."""
+    while True:
+        port = random.randrange(20000, 32000)
+        if port in ALLOTTED:
+            continue
+        try:
+            with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
+                tcp.bind((LOOPBACK, port))
+                udp.bind((LOOPBACK, port))
+        except OSError:
+            continue
+        ALLOTTED.add(port)
+        return port
 
 
 class Connection:
@@ -253,6 +267,7 @@
         self.store = store
         self.name = name
         self.silent = False
+        self.waits = 0  # calls that wait for changes of the config
         super().__init__()
 
     def serve(self, link):
@@ -260,6 +275,7 @@
             first, fields = link.head()
             body = link.body(fields)
             _, target, _ = first.split(" ")
+            self.waits += "rows-feed?table=op" in target
             status, answer = self.store.answer(target, body)
             if self.silent:
                 self.record.line(f"store: no answer to {self.name}: {target.split('&wait')[0]}")
@@ -329,22 +345,29 @@
 
     def __init__(self, folder, name, zone, store, limits=None):
         self.name = name
+        self.zone = zone
+        self.store = store.address
+        self.limits = limits or {}
+        self.path = Path(folder) / f"{name}.json"
+        self.log = open(Path(folder) / f"{name}.log", "ab")
+        self.process = None
+        self.configure()
+        self.start()
+
+    def configure(self):
+        """Writes the settings file, with ports that are free."""
         self.port = free_port()
         self.readiness = free_port()
-        self.settings = {
-            "role": "gateway", "vm": name, "zone": zone, "region": "mu-west",
+        settings = {
+            "role": "gateway", "vm": self.name, "zone": self.zone, "region": "mu-west",
             "listen": f"{LOOPBACK}:{self.port}",
             "readiness": f"{LOOPBACK}:{self.readiness}",
             "metrics": f"{LOOPBACK}:{free_port()}", "peers": f"{LOOPBACK}:{free_port()}",
-            "store": store.address,
+            "store": self.store,
             "limits": {"cores": 0.19, "memory_mb": 260, "repeat_ratio": 0.2,
                        "repeat_slack": 100, "repeat_window_ms": 10000,
-                       "stop_grace_ms": 8000, **(limits or {})}}
-        self.path = Path(folder) / f"{name}.json"
-        self.path.write_text(json.dumps(self.settings), encoding="utf-8")
-        self.log = open(Path(folder) / f"{name}.log", "ab")
-        self.process = None
-        self.start()
+                       "stop_grace_ms": 8000, **self.limits}}
+        self.path.write_text(json.dumps(settings), encoding="utf-8")
 
     def start(self):
         environment = {name: os.environ[name] for name in ("PATH", "HOME", "LANG")
@@ -366,6 +389,9 @@
     def wait_ready(self, limit=15):
         until = time.monotonic() + limit
         while time.monotonic() < until:
+            if self.process.poll() is not None:  # another process took one of the ports
+                self.configure()
+                self.start()
             if self.ready():
                 return True
             time.sleep(0.05)
