The launcher takes other ports only before a gateway was ready

A gateway that the stand-in of the platform had killed was started twice, and one of the two outlived the case.

--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -351,6 +351,7 @@
         self.path = Path(folder) / f"{name}.json"
         self.log = open(Path(folder) / f"{name}.log", "ab")
         self.process = None
+        self.was_ready = False
         self.configure()
         self.start()
 
@@ -389,10 +390,12 @@
     def wait_ready(self, limit=15):
         until = time.monotonic() + limit
         while time.monotonic() < until:
-            if self.process.poll() is not None:  # another process took one of the ports
+            if not self.was_ready and self.process.poll() is not None:
+                # Another process took one of the ports.
                 self.configure()
                 self.start()
             if self.ready():
+                self.was_ready = True
                 return True
             time.sleep(0.05)
         return False
