A lost answer of the store no longer holds up a watch

Callers: gateways refused new keys with 401, accepted dropped ones, ran requests at the old service and at backend servers that had left, up to 26.5 s after the store had left one call unanswered, though it answered all new ones.

Cause: watch_table() gives a call that waits for changes 25 s, the client 1.5 s more. The answer is lost behind a connection that stays alive, so keep-alive probes show nothing. A newer version that peers announce was compared only after a relay had answered, never during a call to the store, and readers of relays had nobody else to learn from once all relays were in that state. Nothing was logged while a call waited.

Change: a wait is given up once its answer is 0.5 s overdue, a peer has announced a newer change for 0.5 s, or the gateway that confirms the table is gone; the call is repeated at once without a wait, on a new connection, with the full timeout. Of the gateways that watch a table the largest VM polls once a second, so that a change is announced even if all other calls in the fleet are dead. It works because every wait now has an end that does not need the connection: the poll of one gateway, and what it announces for all others. Once a newer change is known, a relay that lags is not waited for. An announced change that the store does not know when asked later is forgotten, which bounds the calls that a wrong one causes.

--- a/source/connection/http_call.hpp
+++ b/source/connection/http_call.hpp
@@ -5,6 +5,7 @@
 #include "connection/message_head.hpp"
 #include "connection/tcp_stream.hpp"
 
+#include <functional>
 #include <string>
 #include <string_view>
 
@@ -28,9 +29,20 @@
     bool keep_alive = false; ///< Whether the connection can be reused.
 };
 
-/// Makes one call to `host` over `stream` before `until`. Throws connection_error, after
-/// which the call may have taken effect.
+/// Decides whether a call that waits for its answer is given up. Empty for never.
+using abandon_check = std::function<bool(time_point now)>;
+
+/// Thrown if a call was given up before its timeout.
+class call_abandoned : public connection_error
+{
+public:
+    using connection_error::connection_error;
+};
+
+/// Makes one call to `host` over `stream` before `until`. While it waits, `abandon` is
+/// asked several times a second. Throws connection_error, after which the call may have
+/// taken effect.
 http_reply make_call(tcp_stream& stream, std::string_view host, const http_call& call,
-                     time_point until);
+                     time_point until, const abandon_check& abandon = {});
 
 } // namespace pistachiopost
--- a/source/connection/http_client.cpp
+++ b/source/connection/http_client.cpp
@@ -34,7 +34,8 @@
     stream_->set_peer_timeout(peer_timeout);
 }
 
-http_reply http_client::call(const http_call& it, milliseconds wait)
+http_reply http_client::call(const http_call& it, milliseconds wait,
+                             const abandon_check& abandon)
 {
     try
     {
@@ -43,13 +44,18 @@
         {
             connect();
         }
-        auto reply = make_call(*stream_, to_string(remote_), it, until);
+        auto reply = make_call(*stream_, to_string(remote_), it, until, abandon);
         if (!reply.keep_alive)
         {
             stream_.reset();
         }
         return reply;
     }
+    catch (const call_abandoned&)
+    {
+        stream_.reset(); // the answer may still come
+        throw;
+    }
     catch (const connection_error& ex)
     {
         stream_.reset();
--- a/source/connection/http_client.hpp
+++ b/source/connection/http_client.hpp
@@ -20,8 +20,10 @@
     http_client(endpoint remote, milliseconds timeout);
 
     /// Makes a call whose response the peer may delay by `wait` in addition to the
-    /// timeout. Throws connection_error; the call may have taken effect.
-    http_reply call(const http_call& it, milliseconds wait = milliseconds{0});
+    /// timeout. Throws call_abandoned if `abandon` gives it up, else connection_error;
+    /// the call may have taken effect.
+    http_reply call(const http_call& it, milliseconds wait = milliseconds{0},
+                    const abandon_check& abandon = {});
     /// Gets `path`, conditionally if `etag` is not empty. Throws connection_error.
     http_reply get(std::string_view path, std::string_view etag = {});
     /// Posts a JSON body. Throws connection_error; the call may have taken effect.
--- a/source/process/gateway_directory.cpp
+++ b/source/process/gateway_directory.cpp
@@ -27,9 +27,6 @@
 constexpr milliseconds store_retry_interval{1'000};
 // Time for the first announcements of relays after a start.
 constexpr milliseconds relay_startup_time{600};
-// A change announced by another gateway takes at most this long through a sound relay,
-// which gathers changes for 300 ms.
-constexpr milliseconds max_relay_delay{700};
 
 std::size_t to_index(watched_table table)
 {
@@ -341,11 +338,32 @@
 }
 
 bool gateway_directory::lags(watched_table table, std::uint64_t version,
-                             time_point now) const
+                             milliseconds allowed, time_point now) const
 {
     const std::lock_guard lock(mutex_);
     const auto& it = newest_[to_index(table)];
-    return it.version > version && now - it.announced_at >= max_relay_delay;
+    return it.version > version && now - it.announced_at >= allowed;
+}
+
+void gateway_directory::confirm_version(watched_table table, std::uint64_t version,
+                                        time_point asked_at)
+{
+    const std::lock_guard lock(mutex_);
+    auto& it = newest_[to_index(table)];
+    if (it.version > version && it.announced_at < asked_at)
+    {
+        it = {version, asked_at};
+    }
+}
+
+bool gateway_directory::should_confirm(watched_table table, time_point now) const
+{
+    const std::lock_guard lock(mutex_);
+    return std::none_of(members_.begin(), members_.end(), [&](const auto& entry) {
+        const auto& it = entry.second;
+        return is_current(it.heard_at, now) && it.status.watches[to_index(table)] &&
+               !it.status.store_failed && duty_order(it.record) < duty_order(self_);
+    });
 }
 
 store_status gateway_directory::own_status(time_point now) const
--- a/source/process/gateway_directory.hpp
+++ b/source/process/gateway_directory.hpp
@@ -99,10 +99,17 @@
     void record_relayed(watched_table table);
     /// Records the latest change of `table` known to this gateway.
     void record_change(watched_table table, std::uint64_t version, time_point now);
-    /// Returns whether another gateway announced a change of `table` after `version` so
-    /// long ago that it should have arrived.
+    /// Returns whether another gateway announced a change of `table` after `version`
+    /// longer than `allowed` ago.
     [[nodiscard]] bool lags(watched_table table, std::uint64_t version,
-                            time_point now) const;
+                            milliseconds allowed, time_point now) const;
+    /// Records that the store, asked at `asked_at`, knew no change of `table` after
+    /// `version`, so that none that was announced before exists.
+    void confirm_version(watched_table table, std::uint64_t version, time_point asked_at);
+    /// Returns whether this gateway is to ask the store periodically whether `table` has
+    /// changed, on behalf of those it hears: a change that is lost on the way to every
+    /// other gateway is then announced to them.
+    [[nodiscard]] bool should_confirm(watched_table table, time_point now) const;
     /// Returns what this gateway announces to the others.
     [[nodiscard]] store_status own_status(time_point now) const;
 
--- a/source/process/relayed_store.hpp
+++ b/source/process/relayed_store.hpp
@@ -5,6 +5,11 @@
 /// Calls to the store are limited for the whole fleet and charged. Two gateways of each
 /// zone watch it, the others ask them. A gateway that gets no answer from either, or
 /// learns that they lag behind, calls the store itself.
+///
+/// The answer to a call that waits for changes may be lost on a connection that stays
+/// alive, so such a call is given up once its answer is overdue or another gateway
+/// announces a newer change. One gateway asks at short intervals whether there is any:
+/// even if every other call in the fleet is dead, a change is announced.
 #pragma once
 
 #include "process/gateway_directory.hpp"
@@ -45,9 +50,8 @@
     row_batch wait_for_changes(std::string_view table, std::uint64_t since,
                                milliseconds wait)
     {
-        return fetch(table, since, wait, [&](milliseconds limit) {
-            return store_.wait_for_changes(table, since, limit);
-        });
+        return fetch(table, since, wait,
+                     [&](milliseconds limit) { return poll_store(table, since, limit); });
     }
 
 private:
@@ -56,6 +60,18 @@
     // configuration must be in force within two seconds in the smallest deployments.
     static constexpr milliseconds max_relay_wait{500};
     static constexpr std::size_t max_relays_asked = 2;
+    // A change announced by another gateway takes at most this long through a sound
+    // relay, which gathers changes for 300 ms.
+    static constexpr milliseconds max_relay_delay{700};
+    // The same for a sound call to the store.
+    static constexpr milliseconds max_store_delay{500};
+    // Interval at which the gateway that is to confirm a table asks the store. With the
+    // time after which a call is overdue, that of a call that fails and that after which
+    // the others give up theirs it stays within 3 s, the shortest time after which the
+    // platform takes a disturbance for over.
+    static constexpr milliseconds confirmation_interval{1'000};
+    // A hundred times the store's usual response time.
+    static constexpr milliseconds overdue_time{500};
 
     /// Asks the relays unless this gateway is to watch the store. A starting gateway
     /// waits for their first announcements.
@@ -112,12 +128,81 @@
         }
     }
 
-    /// Asks the relays in turn; nothing if none answers.
+    /// Waits for changes at the store. If the call is given up, asks again without
+    /// waiting, on a new connection.
+    row_batch poll_store(std::string_view table, std::uint64_t since, milliseconds wait)
+    {
+        const auto asked_at = steady::now();
+        if (wait.count() == 0)
+        {
+            return ask_now(table, since, asked_at);
+        }
+        const bool confirms = directory_.should_confirm(id_, asked_at);
+        const auto limit = confirms ? std::min(wait, confirmation_interval) : wait;
+        try
+        {
+            auto batch =
+                store_.wait_for_changes(table, since, limit, [&](time_point now) {
+                    return is_lost(table, since, limit, asked_at, now);
+                });
+            directory_.confirm_version(id_, batch.version, asked_at);
+            return batch;
+        }
+        catch (const poll_abandoned&)
+        {
+            return ask_now(table, since, steady::now());
+        }
+    }
+
+    row_batch ask_now(std::string_view table, std::uint64_t since, time_point now)
+    {
+        auto batch = store_.wait_for_changes(table, since, milliseconds{0}, {});
+        directory_.confirm_version(id_, batch.version, now);
+        return batch;
+    }
+
+    /// Returns whether a call for changes after `since`, to be answered within `wait` of
+    /// `asked_at`, must be repeated.
+    bool is_lost(std::string_view table, std::uint64_t since, milliseconds wait,
+                 time_point asked_at, time_point now)
+    {
+        const auto waited = now - asked_at;
+        std::string_view reason;
+        if (waited >= wait + overdue_time)
+        {
+            reason = "the answer is overdue";
+        }
+        else if (waited >= max_store_delay &&
+                 directory_.lags(id_, since, max_store_delay, now))
+        {
+            reason = "another gateway announced a newer change";
+        }
+        else if (waited >= confirmation_interval && wait > confirmation_interval &&
+                 directory_.should_confirm(id_, now))
+        {
+            reason = "no other gateway confirms the table";
+        }
+        else
+        {
+            return false;
+        }
+        log_event(log_level::info, "call to the store given up",
+                  {{"table", table},
+                   {"reason", reason},
+                   {"version", since},
+                   {"waited_ms",
+                    static_cast<std::uint64_t>(ceil_milliseconds(waited).count())}});
+        return true;
+    }
+
+    /// Asks the relays in turn; nothing if none answers. Once a newer change is known, a
+    /// relay that lags behind is not waited for.
     std::optional<row_batch> ask_relays(std::string_view table, std::uint64_t since,
                                         milliseconds wait)
     {
         auto relays = directory_.relays(id_, steady::now());
         relays.resize(std::min(relays.size(), max_relays_asked));
+        auto limit = std::min(wait, max_relay_wait);
         for (const auto& it : relays)
         {
             if (!relay_ || address_ != it)
@@ -127,9 +212,9 @@
             }
             try
             {
-                auto batch =
-                    relay_->changes(table, since, std::min(wait, max_relay_wait));
-                if (!directory_.lags(id_, std::max(batch.version, since), steady::now()))
+                auto batch = relay_->changes(table, since, limit);
+                if (!directory_.lags(id_, std::max(batch.version, since), max_relay_delay,
+                                     steady::now()))
                 {
                     store_answered_ = false;
                     cache_.set_may_relay(false);
@@ -137,6 +222,7 @@
                     return batch;
                 }
                 log_failure(table, "lags behind other gateways");
+                limit = milliseconds{0};
             }
             catch (const history_compacted&)
             {
--- a/source/process/stored_row.hpp
+++ b/source/process/stored_row.hpp
@@ -44,4 +44,11 @@
     using store_error::store_error;
 };
 
+/// Thrown if a call that waits for changes was given up; the store may be sound.
+class poll_abandoned : public store_error
+{
+public:
+    using store_error::store_error;
+};
+
 } // namespace pistachiopost
--- a/tests/process/gateway_directory_test.cpp
+++ b/tests/process/gateway_directory_test.cpp
@@ -215,10 +215,42 @@
 {
     directory_fixture it;
     it.directory.record_message(it.big1, it.watching(50), start);
-    cr_assert_not(it.directory.lags(table, 40, start + milliseconds{600}));
-    cr_assert(it.directory.lags(table, 40, start + milliseconds{700}));
-    cr_assert_not(it.directory.lags(table, 50, start + milliseconds{700}));
-    cr_assert_not(it.directory.lags(watched_table::backends, 0, settled));
+    const milliseconds allowed{700};
+    cr_assert_not(it.directory.lags(table, 40, allowed, start + milliseconds{600}));
+    cr_assert(it.directory.lags(table, 40, allowed, start + milliseconds{700}));
+    cr_assert_not(it.directory.lags(table, 50, allowed, start + milliseconds{700}));
+    cr_assert_not(it.directory.lags(watched_table::backends, 0, allowed, settled));
+}
+
+/// Otherwise one wrong announcement makes every gateway call the store again and again.
+Test(gateway_directory, announced_change_that_the_store_does_not_know_is_forgotten)
+{
+    directory_fixture it;
+    const milliseconds allowed{0};
+    it.directory.record_message(it.big1, it.watching(50), start);
+    it.directory.confirm_version(table, 40, start - milliseconds{1});
+    cr_assert(it.directory.lags(table, 40, allowed, settled), "asked before");
+    it.directory.confirm_version(table, 40, start + milliseconds{1});
+    cr_assert_not(it.directory.lags(table, 40, allowed, settled));
+}
+
+Test(gateway_directory, largest_live_watching_gateway_confirms_a_table)
+{
+    directory_fixture it;
+    cr_assert(it.directory.should_confirm(table, start), "it hears no other");
+    it.directory.record_message(it.big1, {}, start);
+    cr_assert(it.directory.should_confirm(table, start), "the other reads from a relay");
+    auto far = it.big2;
+    far.zone = "b";
+    it.directory.record_message(far, it.watching(), start);
+    cr_assert_not(it.directory.should_confirm(table, start));
+    cr_assert(it.directory.should_confirm(table, start + seconds{1}), "silent");
+    auto failing = it.watching();
+    failing.store_failed = true;
+    it.directory.record_message(far, failing, settled);
+    cr_assert(it.directory.should_confirm(table, settled), "the store rejects the other");
+    it.directory.record_message(it.record("small", "b", 0.01, 3), it.watching(), settled);
+    cr_assert(it.directory.should_confirm(table, settled));
 }
 
 Test(gateway_directory, each_table_is_announced_while_it_is_followed_at_the_store)
--- a/tests/process/relayed_store_test.cpp
+++ b/tests/process/relayed_store_test.cpp
@@ -1,5 +1,7 @@
 #include "process/relayed_store.hpp"
 
+#include "connection/http_call.hpp"
+
 #include <criterion/criterion.h>
 
 #include <functional>
@@ -35,7 +37,7 @@
 {
     static row_batch read_table(std::string_view) { return answer(0); }
     static row_batch wait_for_changes(std::string_view, std::uint64_t since,
-                                      milliseconds wait)
+                                      milliseconds wait, const abandon_check&)
     {
         current_script->waits.push_back(wait);
         return answer(since);
