Requests that come late in the grace period of a stop are not passed on

Callers: in a planned stop requests that came late on kept connections, or whose body ended late, were taken and passed on; at the end of the grace period they were cut with no answer, among them requests that may not be repeated.

Cause: after 2.5 s the listener and idle connections are closed, but a connection whose next request is already there, or whose request has begun, is read without a look at the stop, and nothing compares a request's time with what is left. The process then ends without a word to the callers of calls that still run.

Change: the time at which a request is whole decides. From 2.5 s after the signal it is refused as not run, with a time to come back and Connection: close; before that a call that must not be repeated is refused if its time exceeds the rest. Attempts watch a descriptor that is signalled 0.75 s before the kill and answer 504 then; a stream that has begun goes on until 0.5 s before. No further attempt begins once the queue is closed. It works because nothing is passed on any more whose answer the process does not live to give, and what it has passed on gets one.

request_still_queued_near_the_end_of_a_stop_is_refused sent a call that must not be repeated, which is now refused at once. It sends one that may be, so that it still queues, and asserts in addition that it waited until the queue closed.

--- a/source/connection/attempt_result.hpp
+++ b/source/connection/attempt_result.hpp
@@ -57,6 +57,7 @@
     event_splitter events;
     message_head stream_head; ///< From the backend server that began the stream.
     time_point until;         ///< Deadline for the final answer.
+    int ending_fd = -1;       ///< Readable once a caller can only just be answered.
 };
 
 /// Timeouts of an attempt.
--- a/source/connection/forward_attempt.hpp
+++ b/source/connection/forward_attempt.hpp
@@ -118,6 +118,7 @@
     {
         response_reader answer(exchange_.received.head.method);
         int caller = exchange_.caller.fd();
+        int ending = exchange_.ending_fd;
         auto event_deadline = steady::now() + timeouts_.first_event;
         auto renew_at = memory_.empty()
                             ? time_point::max()
@@ -127,7 +128,7 @@
         for (;;)
         {
             const auto until = std::min({event_deadline, exchange_.until, renew_at});
-            const auto woken = wait_readable(stream.fd(), caller, until);
+            const auto woken = wait_readable(stream.fd(), caller, ending, until);
             // A backend server that always has bytes ready ends neither the deadlines nor
             // the attention to the caller.
             if (woken == wake_cause::first)
@@ -168,6 +169,15 @@
                 caller = -1; // a pipelined request is waiting; it is read after this one
                 continue;
             }
+            if (woken == wake_cause::third)
+            {
+                if (!exchange_.response.begun())
+                {
+                    return finish(attempt_end::out_of_time, "the gateway stops");
+                }
+                ending = -1; // what has begun cannot be replaced by an error response
+                continue;
+            }
             if (woken == wake_cause::timeout)
             {
                 const auto now = steady::now();
--- a/source/connection/http_reader.cpp
+++ b/source/connection/http_reader.cpp
@@ -64,6 +64,7 @@
             }
             break;
         case wake_cause::second:
+        case wake_cause::third:
             return request_outcome::closed;
         case wake_cause::timeout:
             if (steady::now() >= idle_since + current().idle_timeout)
--- a/source/connection/tcp_stream.cpp
+++ b/source/connection/tcp_stream.cpp
@@ -31,15 +31,18 @@
 
 } // namespace
 
-wake_cause wait_readable(int first, int second, time_point until)
+wake_cause wait_readable(int first, int second, int third, time_point until)
 {
-    std::array<pollfd, 2> fds{pollfd{first, POLLIN, 0}, pollfd{second, POLLIN, 0}};
+    std::array<pollfd, 3> fds{pollfd{first, POLLIN, 0}, pollfd{second, POLLIN, 0},
+                              pollfd{third, POLLIN, 0}};
     for (;;)
     {
         const int n = ::poll(fds.data(), fds.size(), poll_timeout(until));
         if (n > 0)
         {
-            return fds[0].revents != 0 ? wake_cause::first : wake_cause::second;
+            return fds[0].revents != 0   ? wake_cause::first
+                   : fds[1].revents != 0 ? wake_cause::second
+                                         : wake_cause::third;
         }
         if (n == 0 && steady::now() >= until)
         {
@@ -52,6 +55,11 @@
     }
 }
 
+wake_cause wait_readable(int first, int second, time_point until)
+{
+    return wait_readable(first, second, -1, until);
+}
+
 tcp_stream::tcp_stream(unique_fd sock) : sock_(std::move(sock)) {}
 
 std::string_view tcp_stream::buffered() const
--- a/source/connection/tcp_stream.hpp
+++ b/source/connection/tcp_stream.hpp
@@ -12,16 +12,20 @@
 
 namespace pistachiopost {
 
-/// Result of a wait on two descriptors.
+/// Result of a wait on several descriptors.
 enum class wake_cause
 {
     first,  ///< The first descriptor is readable or closed.
     second, ///< The second descriptor is readable or closed.
+    third,  ///< The third descriptor is readable or closed.
     timeout ///< The deadline passed.
 };
 
-/// Waits until `first` or `second` is readable or `until` passes. A descriptor of -1 is
-/// ignored.
+/// Waits until `first`, `second` or `third` is readable or `until` passes. The earlier
+/// one counts if several are. A descriptor of -1 is ignored.
+wake_cause wait_readable(int first, int second, int third, time_point until);
+
+/// Waits until `first` or `second` is readable or `until` passes.
 wake_cause wait_readable(int first, int second, time_point until);
 
 /// A connection that one task reads and writes with blocking calls.
--- a/source/process/forward_service.hpp
+++ b/source/process/forward_service.hpp
@@ -77,6 +77,10 @@
                           "no_configuration",
                           startup_retry_after(arrived - state_.started_at));
         }
+        if (arrived >= state_.admission_ends_at.load())
+        {
+            return refuse_for_stop(response, request);
+        }
         const auto* matched_route = table->find_route(request.host, request.path);
         if (matched_route == nullptr)
         {
@@ -97,6 +101,12 @@
         it.until = std::min(caller_deadline, matched_route->timeout.count() > 0
                                                  ? arrived + matched_route->timeout
                                                  : caller_deadline);
+        it.ending_fd = state_.ending_fd.get();
+        if (matched_route->kind == call_kind::at_most_once &&
+            it.until > state_.answers_end_at.load())
+        {
+            return refuse_for_stop(response, request);
+        }
         forward_context run{it, *table, customer == nullptr ? "" : customer->name,
                             arrived};
         run.priority = customer != nullptr && customer->priority
@@ -388,6 +398,13 @@
         return keep_alive;
     }
 
+    /// Refuses a request that may not be answered before the process ends.
+    bool refuse_for_stop(caller_response& response, const forwarded_request& request)
+    {
+        return refuse(response, request, 503, "the gateway stops; not run", "stopping",
+                      min_retry_after);
+    }
+
     /// Refuses a request that the configuration does not know, for good unless a newer
     /// one exists that may know it. Another gateway may have that one already.
     bool refuse_unknown(caller_response& response, const forwarded_request& request,
--- a/source/process/gateway_process.hpp
+++ b/source/process/gateway_process.hpp
@@ -141,7 +141,8 @@
 }
 
 /// Waits until the load balancer has noticed the stop, then accepts no new connections,
-/// closes idle ones and waits for requests in progress.
+/// closes idle ones, refuses further requests and waits for those in progress. Calls that
+/// do not finish are answered with an error before the process ends.
 inline void drain(gateway_state& state, stop_flag& stop)
 {
     // The balancer probes once per second and removes a VM after two failed probes.
@@ -150,17 +151,27 @@
     constexpr milliseconds exit_reserve{500};
     // Part of the time before that in which queued requests are refused and answered.
     constexpr milliseconds refusal_time{500};
+    // Part of that time in which callers of unfinished calls are answered.
+    constexpr milliseconds last_answer_time{250};
     constexpr milliseconds poll_interval{50};
-    const auto deadline = steady::now() + state.stop_grace.load() - exit_reserve;
+    const auto began = steady::now();
+    const auto deadline = began + state.stop_grace.load() - exit_reserve;
+    state.admission_ends_at = began + balancer_notice_time;
+    state.answers_end_at = deadline - last_answer_time;
     state.stopping = true;
     stop.wait_for(balancer_notice_time);
     signal_event_fd(state.stop_fd);
     while (state.connections > 0 && steady::now() < deadline)
     {
-        if (!state.queue_closed && steady::now() >= deadline - refusal_time)
+        const auto now = steady::now();
+        if (!state.queue_closed && now >= deadline - refusal_time)
         {
             state.close_queue();
         }
+        if (now >= deadline - last_answer_time)
+        {
+            signal_event_fd(state.ending_fd);
+        }
         stop.wait_for(poll_interval);
     }
 }
--- a/source/process/gateway_state.hpp
+++ b/source/process/gateway_state.hpp
@@ -50,10 +50,15 @@
     crash_tracker crashes;
     gateway_directory directory;
     gateway_metrics metrics;
-    byte_budget answer_bytes;           ///< Parts of answers held by all requests.
-    unique_fd stop_fd;                  ///< Readable once idle connections must close.
-    std::atomic<bool> stopping = false; ///< A stop signal was received.
+    byte_budget answer_bytes;              ///< Parts of answers held by all requests.
+    unique_fd stop_fd;                     ///< Readable once idle connections must close.
+    unique_fd ending_fd = open_event_fd(); ///< Readable shortly before the process ends.
+    std::atomic<bool> stopping = false;    ///< A stop signal was received.
     std::atomic<bool> queue_closed = false; ///< The process ends before a queued one ran.
+    /// From then on requests are refused.
+    std::atomic<time_point> admission_ends_at = time_point::max();
+    /// From then on running calls are answered with an error.
+    std::atomic<time_point> answers_end_at = time_point::max();
     std::atomic<bool> backends_loaded = false;
     std::atomic<std::size_t> connections = 0;
     std::atomic<std::uint32_t> max_connections; ///< Limit on caller connections.
--- a/source/process/placement_wait.cpp
+++ b/source/process/placement_wait.cpp
@@ -93,9 +93,14 @@
                                                    forward_context& run,
                                                    const placement_request& wanted)
 {
-    auto place = state.dispatch.try_place(run.customer, wanted, steady::now());
+    std::optional<placement> place;
     try
     {
+        // A further attempt could not be answered before the process ends.
+        if (!state.queue_closed)
+        {
+            place = state.dispatch.try_place(run.customer, wanted, steady::now());
+        }
         if (!place)
         {
             place = wait_for_placement(state, run, wanted);
--- a/tests/gateway/gateway_front_test.cpp
+++ b/tests/gateway/gateway_front_test.cpp
@@ -257,14 +257,16 @@
     gateway.state->connections = 1;
     stop_flag stop;
     const auto ends_at = steady::now() + milliseconds{3'000};
+    const auto closes_at = ends_at - milliseconds{500};
     task draining([&] { drain(*gateway.state, stop); });
     std::this_thread::sleep_for(milliseconds{1'500});
     auto caller = gateway.connect();
-    send_text(caller, gateway_fixture::request("/once/x"));
+    send_text(caller, gateway_fixture::request("/safe/x"));
     const auto answer = gateway_fixture::read_answer(caller);
     const auto answered_at = steady::now();
     gateway.state->connections = 0;
     draining.join();
     cr_assert_eq(answer.head.status, 503);
+    cr_assert(answered_at >= closes_at, "it was queued");
     cr_assert(answered_at < ends_at);
 }
