A request sent at the end of the idle timeout is answered

Cause: the gateway closed a kept connection once it had been idle for the timeout of the configuration. Callers use connections again up to that timeout (14,990 of 15,000 ms were seen), so that a request crossed the close on its way.

Change: an idle connection is closed 1 s after the timeout. Two counters tell connections that ended unread, so that such a complaint can be told from an answer that was lost.

--- a/source/connection/gateway_connection.hpp
+++ b/source/connection/gateway_connection.hpp
@@ -62,6 +62,9 @@
             const auto now = steady::now();
             if (outcome != request_outcome::complete)
             {
+                state.metrics.increment(outcome == request_outcome::idle_timeout
+                                            ? "idle_connections_closed"
+                                            : "connections_ended_unread");
                 send_read_error(stream, outcome, now);
                 return;
             }
--- a/source/connection/http_reader.cpp
+++ b/source/connection/http_reader.cpp
@@ -13,6 +13,9 @@
 namespace http = boost::beast::http;
 
 constexpr std::uint32_t max_response_head_bytes = 65'536; // four times a caller's limit
+// A request that a caller sends at the end of the idle timeout must not meet the close of
+// the connection, also after a retransmission.
+constexpr milliseconds idle_close_margin{1'000};
 
 std::string to_string(boost::beast::string_view text)
 {
@@ -51,10 +54,13 @@
                                  int stop_fd)
 {
     const auto idle_since = steady::now();
+    const auto close_at = [&] {
+        return idle_since + current().idle_timeout + idle_close_margin;
+    };
     while (stream.buffered().empty())
     {
         // A new configuration may extend the time while the connection is idle.
-        const auto until = idle_since + current().idle_timeout;
+        const auto until = close_at();
         switch (wait_readable(stream.fd(), stop_fd, until))
         {
         case wake_cause::first:
@@ -67,7 +73,7 @@
         case wake_cause::third:
             return request_outcome::closed;
         case wake_cause::timeout:
-            if (steady::now() >= idle_since + current().idle_timeout)
+            if (steady::now() >= close_at())
             {
                 return request_outcome::idle_timeout;
             }
