A chunked answer of a service that breaks off is not taken for whole

Callers of the product's own interface could get a 200 with a short body, framed as complete, when a plain service stopped in the line break after a chunk and closed. Found while looking for the report of an answer that stops in its head.

Cause: service_backend used cpp-httplib, whose reader of chunked bodies ends the body without an error if what follows a chunk is no line break; the end of the connection is not.

Evidence: suite truncated_answer, which cuts answers of engines, services and the store at each byte, in each framing. Before: call_of_a_service_is_not_an_answer fails (chunked, cut at byte 87 of 93), the other two pass. Heads that stop are errors at every place.

Change: the call uses make_call(), the client of the store and of relays, with its own header fields and content type. Its parser ends a body only where its framing does.

--- a/source/connection/engine_backend.cpp
+++ b/source/connection/engine_backend.cpp
@@ -1,6 +1,7 @@
 #include "connection/engine_backend.hpp"
 
 #include "connection/engine_client.hpp"
+#include "connection/http_call.hpp"
 #include "connection/sse_reader.hpp"
 
 #include <fmt/format.h>
@@ -362,36 +363,36 @@
     job.send(attempt_started{});
     // Each call uses a new connection: after a failure on a reused connection it is
     // unknown whether the call ran.
-    httplib::Client client(remote_.address, remote_.port);
-    client.set_connection_timeout(connect_timeout);
-    client.set_tcp_nodelay(true);
-    client.set_url_encode(false);
-    const auto left = ceil_milliseconds(job.deadline() - steady::now());
-    client.set_read_timeout(std::max(left, milliseconds{1}));
-    httplib::Request http;
-    http.method = order.method;
-    http.path = order.path;
-    http.headers = {{"Content-Type", order.content_type},
-                    {"X-Request-Id", order.attempt_id}};
-    set_body_provider(http, job.body());
-    job.set_interrupt([&client] { client.stop(); });
-    auto answer = client.send(http);
-    job.set_interrupt({});
-    if (!answer)
+    std::optional<tcp_stream> stream;
+    try
+    {
+        stream.emplace(connect_tcp(remote_, static_cast<int>(connect_timeout.count())));
+    }
+    catch (const connection_error& ex)
+    {
+        return make_refusal(refusal_reason::backend_failed, run_state::not_run,
+                            ex.what());
+    }
+    try
     {
-        const bool refused = answer.error() == httplib::Error::Connection ||
-                             answer.error() == httplib::Error::ConnectionTimeout;
-        return make_refusal(refusal_reason::backend_failed,
-                            refused ? run_state::not_run : run_state::unknown,
-                            "the service did not answer");
+        http_call call{order.method, order.path, job.body(), {}, order.content_type};
+        call.fields = {{"X-Request-Id", order.attempt_id}};
+        auto answer = make_call(*stream, to_string(remote_), call, job.deadline(),
+                                [&job](time_point) { return job.cancelled(); });
+        on_first_token();
+        const auto size = answer.body.size();
+        if (size > 0)
+        {
+            job.send(answer_chunk{0, size, std::move(answer.body)});
+        }
+        return answer_end{size, answer.status,
+                          std::string(answer.head.value("Content-Type"))};
     }
-    on_first_token();
-    const auto size = answer->body.size();
-    if (size > 0)
+    catch (const connection_error& ex)
     {
-        job.send(answer_chunk{0, size, std::move(answer->body)});
+        return make_refusal(refusal_reason::backend_failed, run_state::unknown,
+                            ex.what());
     }
-    return answer_end{size, answer->status, answer->get_header_value("Content-Type")};
 }
 
 } // namespace pistachiopost
--- a/source/connection/http_call.cpp
+++ b/source/connection/http_call.cpp
@@ -52,10 +52,14 @@
     {
         text += fmt::format("If-None-Match: {}\r\n", call.if_none_match);
     }
-    if (call.method != "GET")
+    for (const auto& it : call.fields)
     {
-        text += fmt::format("Content-Type: application/json\r\nContent-Length: {}\r\n",
-                            call.body.size());
+        text += fmt::format("{}: {}\r\n", it.name, it.value);
+    }
+    if (call.method != "GET" || !call.body.empty())
+    {
+        text += fmt::format("Content-Type: {}\r\nContent-Length: {}\r\n",
+                            call.content_type, call.body.size());
     }
     stream.send(text + "\r\n" + call.body, until);
     response_reader response(call.method, max_reply_bytes);
--- a/source/connection/http_call.hpp
+++ b/source/connection/http_call.hpp
@@ -8,16 +8,19 @@
 #include <functional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace pistachiopost {
 
-/// A request; methods other than GET carry a JSON body.
+/// A request; one with a method other than GET always carries a body.
 struct http_call
 {
     std::string_view method;
     std::string target;
     std::string body;
     std::string if_none_match; ///< Sent as If-None-Match; empty for none.
+    std::string content_type = "application/json"; ///< Of the body.
+    std::vector<header_field> fields = {};         ///< Further header fields.
 };
 
 /// A complete response.
