Rows removed while a gateway was cut off are kept no longer than the store needs

Cause: rows that disappear in an outage of the store are kept for 2 s after its return, in which it restores those of living servers. The gateway counted from its own first answer, although the store had served the other gateways all along.

Evidence: its log has the removal of the row at 18.812 s with the first answer after the cut, the announcements of the others from 17.7 s on, and a request to that server at 20.792 s.

Change: the store counts as back since a peer first announced a change that this gateway does not know, if that was after the outage was noticed. An earlier announcement may be older than the outage and does not count.

Tests: suite caching_follower; store_that_served_others_in_an_outage_is_back_since_then asserts second 4, where the code before took second 8.

--- a/source/process/gateway_directory.cpp
+++ b/source/process/gateway_directory.cpp
@@ -326,6 +326,10 @@
     own_.changes[i] = std::max(own_.changes[i], version);
     known_[i] = std::max(known_[i], known);
     note_change(table, version, now);
+    if (newest_[i].version <= known_[i])
+    {
+        outdated_since_[i].reset();
+    }
 }
 
 bool gateway_directory::is_outdated(watched_table table) const
@@ -335,13 +339,23 @@
     return newest_[i].version > known_[i];
 }
 
+std::optional<time_point> gateway_directory::outdated_since(watched_table table) const
+{
+    const std::lock_guard lock(mutex_);
+    return outdated_since_[to_index(table)];
+}
+
 void gateway_directory::note_change(watched_table table, std::uint64_t version,
                                     time_point now)
 {
-    auto& it = newest_[to_index(table)];
-    if (version > it.version)
+    const auto i = to_index(table);
+    if (version > newest_[i].version)
+    {
+        newest_[i] = {version, now};
+    }
+    if (version > known_[i] && !outdated_since_[i])
     {
-        it = {version, now};
+        outdated_since_[i] = now;
     }
 }
 
@@ -361,6 +375,7 @@
     if (it.version > version && it.announced_at < asked_at)
     {
         it = {version, asked_at};
+        outdated_since_[to_index(table)].reset();
     }
 }
 
--- a/source/process/gateway_directory.hpp
+++ b/source/process/gateway_directory.hpp
@@ -104,6 +104,9 @@
     /// Returns whether another gateway announced a change of `table` that this one does
     /// not know.
     [[nodiscard]] bool is_outdated(watched_table table) const;
+    /// Returns since when others have announced changes of `table` that this gateway does
+    /// not know.
+    [[nodiscard]] std::optional<time_point> outdated_since(watched_table table) const;
     /// Returns whether another gateway announced a change of `table` after `version`
     /// longer than `allowed` ago.
     [[nodiscard]] bool lags(watched_table table, std::uint64_t version,
@@ -152,6 +155,7 @@
     store_status own_;
     std::array<std::uint64_t, watched_table_count> known_{}; ///< Own version.
     std::array<announced_change, watched_table_count> newest_{};
+    std::array<std::optional<time_point>, watched_table_count> outdated_since_;
 };
 
 } // namespace pistachiopost
--- a/source/process/relayed_store.hpp
+++ b/source/process/relayed_store.hpp
@@ -275,11 +275,19 @@
         directory_.record_change(id_, cache_.last_change(), cache_.version(), now);
         follower_.on_changes(batch, now);
     }
-    void on_store_unavailable(time_point now) { follower_.on_store_unavailable(now); }
+    void on_store_unavailable(time_point now)
+    {
+        unavailable_since_ = now;
+        follower_.on_store_unavailable(now);
+    }
     void on_store_available(time_point now)
     {
-        cache_.record_recovery(now);
-        follower_.on_store_available(now);
+        // The store served others from then on: rows that it lost have had that long to
+        // return.
+        const auto served = directory_.outdated_since(id_);
+        const auto since = served && *served >= unavailable_since_ ? *served : now;
+        cache_.record_recovery(since);
+        follower_.on_store_available(since);
     }
 
 private:
@@ -287,6 +295,7 @@
     table_cache& cache_;
     gateway_directory& directory_;
     watched_table id_;
+    time_point unavailable_since_;
 };
 
 } // namespace pistachiopost
--- a/tests/process/relayed_store_test.cpp
+++ b/tests/process/relayed_store_test.cpp
@@ -212,6 +212,80 @@
 
 namespace {
 
+/// Records since when the store is available again.
+struct recovery_follower
+{
+    static void on_snapshot(const row_batch&, time_point) {}
+    static void on_changes(const row_batch&, time_point) {}
+    static void on_store_unavailable(time_point) {}
+    void on_store_available(time_point since) { recovered_at = since; }
+
+    time_point recovered_at;
+};
+
+/// Follows a table up to version 7 behind an outage from second 1 on.
+struct outage_fixture : relayed_store_fixture
+{
+    outage_fixture()
+    {
+        cached.on_snapshot(at_version(7), began);
+        cached.on_store_unavailable(began + seconds{1});
+    }
+
+    /// Another gateway announces a change as of `version`.
+    void announce(std::uint64_t version, time_point now)
+    {
+        store_status status;
+        status.watches = {true, true};
+        status.changes[0] = version;
+        directory.record_message({"big-1", first, "a", 1}, status, now);
+    }
+
+    time_point began = steady::now();
+    recovery_follower follower;
+    caching_follower<recovery_follower> cached{follower, cache, directory,
+                                               watched_table::configuration};
+};
+
+} // namespace
+
+/// A gateway that was cut off gave rows that had been removed in the meantime another two
+/// seconds to return, and sent requests to backend servers that had left.
+Test(caching_follower, store_that_served_others_in_an_outage_is_back_since_then)
+{
+    outage_fixture it;
+    it.announce(9, it.began + seconds{4});
+    it.announce(12, it.began + seconds{6});
+    it.cached.on_store_available(it.began + seconds{8});
+    cr_assert_eq(it.follower.recovered_at, it.began + seconds{4});
+}
+
+/// A change that others announced before the outage was noticed may be older than it.
+Test(caching_follower, store_that_served_nobody_in_an_outage_is_back_now)
+{
+    outage_fixture it;
+    it.announce(7, it.began + seconds{4});
+    it.cached.on_store_available(it.began + seconds{8});
+    cr_assert_eq(it.follower.recovered_at, it.began + seconds{8});
+    outage_fixture early;
+    early.announce(9, early.began + milliseconds{500});
+    early.cached.on_store_available(early.began + seconds{8});
+    cr_assert_eq(early.follower.recovered_at, early.began + seconds{8});
+}
+
+Test(caching_follower, change_that_arrived_before_the_outage_is_no_evidence)
+{
+    outage_fixture it;
+    it.announce(9, it.began + seconds{4});
+    it.cached.on_store_available(it.began + seconds{8});
+    it.cached.on_changes(at_version(9), it.began + seconds{8});
+    it.cached.on_store_unavailable(it.began + seconds{20});
+    it.cached.on_store_available(it.began + seconds{25});
+    cr_assert_eq(it.follower.recovered_at, it.began + seconds{25});
+}
+
+namespace {
+
 stored_row row(const char* key, std::uint64_t version, bool removed = false)
 {
     return {key, "value", version, removed};
