Tests of a stop wait until the gateway has noticed it

call_that_fits_into_the_rest_of_the_stop_is_served and requests_on_new_connections_late_in_the_stop_are_not_passed_on failed once each of eight runs beside a soak. Cause: the fixture took the time before the task that drains had started, so that the first request could come before the stop and the late ones within its 2.5 s. It now waits until the gateway has noticed the stop and counts from there; assertions and times are as they were.

--- a/tests/gateway/gateway_stop_test.cpp
+++ b/tests/gateway/gateway_stop_test.cpp
@@ -35,11 +35,15 @@
         join_connections();
     }
 
-    /// Begins the stop, as SIGTERM does.
+    /// Begins the stop, as SIGTERM does, and waits until the gateway has noticed it.
     void stop()
     {
-        stopped_at = steady::now();
         draining = task([this] { drain(*state, end_of_test); });
+        while (!state->stopping)
+        {
+            std::this_thread::sleep_for(milliseconds{1});
+        }
+        stopped_at = steady::now();
     }
 
     /// Waits until the stop has begun `after` ago.
