A connection that is closed unread in a stop may be reset

Cause: the request crosses the close of its connection; the unread bytes reset the socket, which the test took for an error, while it accepts a close without an answer. It now counts both as closed before the request was read, which is what it asserts on: status 503 or none, and no run at a backend server.

--- a/tests/gateway/gateway_stop_test.cpp
+++ b/tests/gateway/gateway_stop_test.cpp
@@ -156,9 +156,17 @@
     {
         it.wait_until(after);
         auto caller = it.connect();
-        send_text(caller, patient_request("/once/x"));
-        const auto answer = gateway_fixture::read_answer(caller);
-        cr_assert(answer.head.status == 503 || answer.head.status == 0);
+        int status = 0;
+        try
+        {
+            send_text(caller, patient_request("/once/x"));
+            status = gateway_fixture::read_answer(caller).head.status;
+        }
+        catch (const connection_error&)
+        {
+            // Closed before the request was read, which resets the connection.
+        }
+        cr_assert(status == 503 || status == 0);
     }
     cr_assert_eq(it.runs(), 0U);
 }
