A request with a faulty Transfer-Encoding is refused

Cause: read_request() left the field to Boost.Beast, which takes such a request for one without a body. RFC 9112, section 6.3: 400 and close.

Change: a request may have one Transfer-Encoding, chunked, in HTTP/1.1 and without a Content-Length; any other is malformed and is answered 400, with the connection closed. The check precedes the body and 100 Continue.

--- a/source/connection/http_reader.cpp
+++ b/source/connection/http_reader.cpp
@@ -49,6 +49,23 @@
     return same_header_name(to_string(message[http::field::expect]), "100-continue");
 }
 
+/// Returns whether the end of the body is beyond doubt: RFC 9112, section 6.3. Whoever
+/// wrote a request with another transfer coding would take the rest of its body for a
+/// request of its own, or the body for something else than is passed on.
+bool has_sound_framing(const http::request<http::string_body>& message)
+{
+    constexpr unsigned http_1_1 = 11;
+    const auto codings = message.count(http::field::transfer_encoding);
+    if (codings == 0)
+    {
+        return true;
+    }
+    return codings == 1 && message.version() == http_1_1 &&
+           message.count(http::field::content_length) == 0 &&
+           same_header_name(to_string(message[http::field::transfer_encoding]),
+                            "chunked");
+}
+
 /// Waits for the first bytes of a request. Returns complete if there are any.
 request_outcome wait_for_request(tcp_stream& stream, const limits_source& current,
                                  int stop_fd)
@@ -117,6 +134,7 @@
     parser.body_limit(limits.max_body_bytes);
     parser.eager(true);
     bool continued = false;
+    bool framing_checked = false;
     auto until = steady::now() + limits.header_timeout;
     while (!parser.is_done())
     {
@@ -131,6 +149,14 @@
             {
                 return to_outcome(ec);
             }
+            if (parser.is_header_done() && !framing_checked)
+            {
+                if (!has_sound_framing(parser.get()))
+                {
+                    return request_outcome::malformed;
+                }
+                framing_checked = true;
+            }
             if (parser.is_done())
             {
                 break;
