--- a/tests/gateway/gateway_truncation_test.cpp
+++ b/tests/gateway/gateway_truncation_test.cpp
@@ -5,9 +5,9 @@
 
 #include <criterion/criterion.h>
 
-#include <algorithm>
 #include <array>
 #include <atomic>
+#include <functional>
 #include <string>
 
 using namespace pistachiopost;
@@ -60,7 +60,7 @@
     return frame(how, "text/plain", "whole ", "body");
 }
 
-framed_answer stream_answer(framing how, int first = 1)
+framed_answer stream_answer(framing how, int first)
 {
     std::string rest;
     for (int i = first + 1; i <= 3; ++i)
@@ -132,93 +132,90 @@
 
 const std::string whole_stream = event(1) + event(2) + event(3);
 
-} // namespace
-
-Test(gateway_truncation, call_that_may_run_once_is_never_answered_as_success)
+/// Sends a request for each framing and each place at which the first answer can stop,
+/// and passes what the caller received to `check`, with the number of attempts and a
+/// label.
+template <typename Check>
+void stop_everywhere(const std::function<framed_answer(framing)>& answer_in,
+                     const char* service, const scripted_backend::script& repeat,
+                     std::string_view path, const std::string& fields, const Check& check)
 {
     for (const auto how : all_framings)
     {
-        const auto answer = call_answer(how);
+        const auto answer = answer_in(how);
         for (std::size_t n = 0; n < positions(how, answer); ++n)
         {
-            truncating_fixture it("plain", answer.bytes, n, answer_call);
-            const auto received = it.send_request("/once/x");
-            cr_assert_eq(received.head.status, 502, "framing %d, cut at %zu",
-                         static_cast<int>(how), n);
-            cr_assert(received.complete);
-            cr_assert_eq(it.attempts(), 1U);
+            truncating_fixture it(service, answer.bytes, n, repeat);
+            const auto received = it.send_request(path, fields);
+            const auto label =
+                fmt::format("framing {}, cut at {}", static_cast<int>(how), n);
+            check(received, it.attempts(), label.c_str());
         }
     }
 }
 
+framed_answer whole_stream_answer(framing how)
+{
+    return stream_answer(how, 1);
+}
+
+} // namespace
+
+Test(gateway_truncation, call_that_may_run_once_is_never_answered_as_success)
+{
+    stop_everywhere(call_answer, "plain", answer_call, "/once/x", "",
+                    [](const auto& received, std::size_t attempts, const char* label) {
+                        cr_assert_eq(received.head.status, 502, "%s", label);
+                        cr_assert(received.complete, "%s", label);
+                        cr_assert_eq(attempts, 1U, "%s", label);
+                    });
+}
+
 Test(gateway_truncation, idempotent_call_is_repeated_and_answered_whole)
 {
-    for (const auto how : all_framings)
-    {
-        const auto answer = call_answer(how);
-        for (std::size_t n = 0; n < positions(how, answer); ++n)
-        {
-            truncating_fixture it("plain", answer.bytes, n, answer_call);
-            const auto received = it.send_request("/safe/x");
-            cr_assert_eq(received.head.status, 200, "framing %d, cut at %zu",
-                         static_cast<int>(how), n);
-            cr_assert(received.complete);
-            cr_assert_eq(received.body, "whole body");
-            cr_assert_eq(it.attempts(), 2U);
-        }
-    }
+    stop_everywhere(call_answer, "plain", answer_call, "/safe/x", "",
+                    [](const auto& received, std::size_t attempts, const char* label) {
+                        cr_assert_eq(received.head.status, 200, "%s", label);
+                        cr_assert(received.complete, "%s", label);
+                        cr_assert_eq(received.body, "whole body", "%s", label);
+                        cr_assert_eq(attempts, 2U, "%s", label);
+                    });
 }
 
 Test(gateway_truncation, stream_that_cannot_be_resumed_is_never_reported_complete)
 {
-    for (const auto how : all_framings)
-    {
-        const auto answer = stream_answer(how);
-        for (std::size_t n = 0; n < positions(how, answer); ++n)
-        {
-            truncating_fixture it("model", answer.bytes, n, continue_stream);
-            const auto received = it.send_request("/fixed/x", prompt_headers(1'000));
-            cr_assert_not(received.head.status == 200 && received.complete,
-                          "framing %d, cut at %zu", static_cast<int>(how), n);
+    stop_everywhere(
+        whole_stream_answer, "model", continue_stream, "/fixed/x", prompt_headers(1'000),
+        [](const auto& received, std::size_t attempts, const char* label) {
+            const auto& body = received.body;
+            cr_assert_not(received.head.status == 200 && received.complete, "%s", label);
             cr_assert(received.head.status == 502 ||
-                      whole_stream.compare(0, received.body.size(), received.body) == 0);
-            cr_assert_eq(it.attempts(), 1U);
-        }
-    }
+                          whole_stream.compare(0, body.size(), body) == 0,
+                      "%s", label);
+            cr_assert_eq(attempts, 1U, "%s", label);
+        });
 }
 
 Test(gateway_truncation, resumable_stream_is_completed_without_gap_or_repeat)
 {
-    for (const auto how : all_framings)
-    {
-        const auto answer = stream_answer(how);
-        for (std::size_t n = 0; n < positions(how, answer); ++n)
-        {
-            truncating_fixture it("model", answer.bytes, n, continue_stream);
-            const auto received = it.send_request("/stream/x", prompt_headers(1'000));
-            cr_assert(received.complete, "framing %d, cut at %zu", static_cast<int>(how),
-                      n);
-            cr_assert_eq(received.body, whole_stream);
-            cr_assert_eq(it.attempts(), 2U);
-        }
-    }
+    stop_everywhere(whole_stream_answer, "model", continue_stream, "/stream/x",
+                    prompt_headers(1'000),
+                    [](const auto& received, std::size_t attempts, const char* label) {
+                        cr_assert(received.complete, "%s", label);
+                        cr_assert_eq(received.body, whole_stream, "%s", label);
+                        cr_assert_eq(attempts, 2U, "%s", label);
+                    });
 }
 
 /// The caller of a broken stream asks for the rest of it. The close of a connection
 /// without length ends an answer that has begun, but no event has shown that it has.
 Test(gateway_truncation, continuation_asked_for_by_the_caller_is_never_empty)
 {
-    for (const auto how : all_framings)
-    {
-        const auto answer = stream_answer(how, 2);
-        for (std::size_t n = 0; n < positions(how, answer); ++n)
-        {
-            truncating_fixture it("model", answer.bytes, n, continue_stream);
-            const auto received = it.send_request(
-                "/stream/x", prompt_headers(1'000) + "Last-Event-Id: 1\r\n");
-            cr_assert(received.complete, "framing %d, cut at %zu", static_cast<int>(how),
-                      n);
-            cr_assert_eq(received.body, event(2) + event(3));
-        }
-    }
+    stop_everywhere([](framing how) { return stream_answer(how, 2); }, "model",
+                    continue_stream, "/stream/x",
+                    prompt_headers(1'000) + "Last-Event-Id: 1\r\n",
+                    [](const auto& received, std::size_t, const char* label) {
+                        cr_assert(received.complete, "%s", label);
+                        cr_assert_eq(received.body, event(2) + event(3), "%s", label);
+                    });
 }
