--- a/tests/gateway/gateway_truncation_test.cpp
+++ b/tests/gateway/gateway_truncation_test.cpp
@@ -9,6 +9,7 @@
 #include <atomic>
 #include <functional>
 #include <string>
+#include <string_view>
 
 using namespace pistachiopost;
 
@@ -81,17 +82,17 @@
 class truncating_fixture : public gateway_fixture
 {
 public:
-    truncating_fixture(const char* service, std::string first_answer, std::size_t n,
+    truncating_fixture(const char* service, std::string_view first_answer, std::size_t n,
                        const scripted_backend::script& repeat)
         : cut_(first_answer.substr(0, n)), repeat_(repeat)
     {
-        add_backend(one, "i-1", service);
-        add_backend(two, "i-2", service);
+        add_backend(one_, "i-1", service);
+        add_backend(two_, "i-2", service);
     }
 
     ~truncating_fixture() { join_connections(); }
 
-    std::size_t attempts() { return one.requests().size() + two.requests().size(); }
+    std::size_t attempts() { return one_.requests().size() + two_.requests().size(); }
 
 private:
     void answer(tcp_stream& stream, const received_request& request)
@@ -114,8 +115,8 @@
     std::string cut_;
     scripted_backend::script repeat_;
     std::atomic<bool> was_cut_ = false;
-    scripted_backend one{script()};
-    scripted_backend two{script()};
+    scripted_backend one_{script()};
+    scripted_backend two_{script()};
 };
 
 void answer_call(tcp_stream& stream, const received_request& request)
