No further attempt begins once the queue is closed in a stop

Cause: the check stood before the immediate placement only; the wait for a place enqueues the request, is served at once and returns that place although the queue is closed.

Change: acquire_placement() returns none once the queue is closed.

Tests: call_that_breaks_off_after_the_queue_closed_is_not_sent_again fails before (2 attempts) and passes after; relays_that_miss_an_announced_change_are_given_up asserts in addition that the second relay is not waited for.

--- a/source/process/placement_wait.cpp
+++ b/source/process/placement_wait.cpp
@@ -93,14 +93,15 @@
                                                    forward_context& run,
                                                    const placement_request& wanted)
 {
-    std::optional<placement> place;
-    try
+    if (state.queue_closed)
     {
         // A further attempt could not be answered before the process ends.
-        if (!state.queue_closed)
-        {
-            place = state.dispatch.try_place(run.customer, wanted, steady::now());
-        }
+        run.last_error = "the gateway stops";
+        return nullptr;
+    }
+    auto place = state.dispatch.try_place(run.customer, wanted, steady::now());
+    try
+    {
         if (!place)
         {
             place = wait_for_placement(state, run, wanted);
--- a/tests/gateway/gateway_stop_test.cpp
+++ b/tests/gateway/gateway_stop_test.cpp
@@ -229,3 +229,21 @@
         cr_assert_eq(answer.head.value("Connection"), "close");
     }
 }
+
+/// A further attempt would be passed on with a fraction of a second left.
+Test(gateway_stop, call_that_breaks_off_after_the_queue_closed_is_not_sent_again)
+{
+    gateway_fixture gateway;
+    const auto break_off = [&](tcp_stream&, const received_request&) {
+        gateway.state->close_queue();
+    };
+    scripted_backend one(break_off);
+    scripted_backend two(break_off);
+    gateway.add_backend(one, "i-1", "plain");
+    gateway.add_backend(two, "i-2", "plain");
+    const auto answer = gateway.send_request("/safe/x");
+    cr_assert(answer.complete);
+    cr_assert_eq(answer.head.status, 502);
+    cr_assert_eq(one.requests().size() + two.requests().size(), 1U);
+    gateway.join_connections();
+}
--- a/tests/process/relayed_store_test.cpp
+++ b/tests/process/relayed_store_test.cpp
@@ -18,6 +18,7 @@
     int relay_calls = 0;
     int store_calls = 0;
     std::vector<milliseconds> waits; ///< Of the calls to the store.
+    std::vector<milliseconds> relay_waits;
 };
 
 script* current_script = nullptr;
@@ -25,8 +26,9 @@
 struct scripted_relay
 {
     explicit scripted_relay(endpoint it) : address(std::move(it)) {}
-    row_batch changes(std::string_view, std::uint64_t since, milliseconds) const
+    row_batch changes(std::string_view, std::uint64_t since, milliseconds wait) const
     {
+        current_script->relay_waits.push_back(wait);
         ++current_script->relay_calls;
         return current_script->relay_answer(address, since);
     }
@@ -150,6 +152,8 @@
     it.hear_relays(8);
     cr_assert_eq(it.ask().version, 9U);
     cr_assert_eq(it.calls.store_calls, 1);
+    cr_assert_eq(it.calls.relay_waits, (std::vector{milliseconds{1}, milliseconds{0}}),
+                 "the second one is not waited for");
 }
 
 Test(relayed_store, gateway_rejected_by_the_store_makes_no_further_calls)
