Membership, placement and admission get folders of their own in source/process

The parts to come (evacuation, cold backend servers, admission under overload) change the registry of backend servers, placement and the dispatcher, so these move first, in a commit without any other change: files are renamed, includes follow.

--- a/source/connection/gateway_record_codec.hpp
+++ b/source/connection/gateway_record_codec.hpp
@@ -2,7 +2,7 @@
 /// Rows with which gateways publish themselves in the store.
 #pragma once
 
-#include "process/gateway_directory.hpp"
+#include "process/membership/gateway_directory.hpp"
 
 #include <string>
 #include <string_view>
--- a/source/connection/load_report_codec.hpp
+++ b/source/connection/load_report_codec.hpp
@@ -2,7 +2,7 @@
 /// Encodes and decodes the load report datagrams of gateways (msgpack).
 #pragma once
 
-#include "process/load_tracker.hpp"
+#include "process/placement/load_tracker.hpp"
 
 #include <string>
 #include <string_view>
--- a/source/connection/peer_link.hpp
+++ b/source/connection/peer_link.hpp
@@ -4,9 +4,9 @@
 #pragma once
 
 #include "connection/unique_fd.hpp"
+#include "process/admission/dispatcher.hpp"
 #include "process/crash_tracker.hpp"
-#include "process/dispatcher.hpp"
-#include "process/gateway_directory.hpp"
+#include "process/membership/gateway_directory.hpp"
 #include "process/stop_flag.hpp"
 
 #include <mutex>
--- a/source/process/customer_costs.cpp
+++ b/source/process/admission/customer_costs.cpp
@@ -1,4 +1,4 @@
-#include "process/customer_costs.hpp"
+#include "process/admission/customer_costs.hpp"
 
 #include <algorithm>
 
--- a/source/process/dispatcher.cpp
+++ b/source/process/admission/dispatcher.cpp
@@ -1,6 +1,6 @@
-#include "process/dispatcher.hpp"
+#include "process/admission/dispatcher.hpp"
 
-#include "process/cell_placement.hpp"
+#include "process/placement/cell_placement.hpp"
 
 #include <algorithm>
 #include <limits>
--- a/source/process/dispatcher.hpp
+++ b/source/process/admission/dispatcher.hpp
@@ -4,11 +4,11 @@
 #pragma once
 
 #include "connection/unique_fd.hpp"
-#include "process/backend_registry.hpp"
-#include "process/customer_costs.hpp"
-#include "process/load_tracker.hpp"
-#include "process/placement.hpp"
-#include "process/slot_contention.hpp"
+#include "process/admission/customer_costs.hpp"
+#include "process/membership/backend_registry.hpp"
+#include "process/placement/load_tracker.hpp"
+#include "process/placement/placement.hpp"
+#include "process/placement/slot_contention.hpp"
 
 #include <condition_variable>
 #include <list>
--- a/source/process/placement_guard.hpp
+++ b/source/process/admission/placement_guard.hpp
@@ -2,7 +2,7 @@
 /// RAII owner of a placement for the duration of one attempt.
 #pragma once
 
-#include "process/dispatcher.hpp"
+#include "process/admission/dispatcher.hpp"
 
 #include <utility>
 
--- a/source/process/placement_wait.cpp
+++ b/source/process/admission/placement_wait.cpp
@@ -1,4 +1,4 @@
-#include "process/placement_wait.hpp"
+#include "process/admission/placement_wait.hpp"
 
 #include "process/forward_log.hpp"
 
--- a/source/process/placement_wait.hpp
+++ b/source/process/admission/placement_wait.hpp
@@ -2,8 +2,8 @@
 /// Waits in the queue until a request gets its placement.
 #pragma once
 
+#include "process/admission/placement_guard.hpp"
 #include "process/gateway_state.hpp"
-#include "process/placement_guard.hpp"
 #include "request/forward_context.hpp"
 
 #include <memory>
--- a/source/process/attempt_monitor.hpp
+++ b/source/process/attempt_monitor.hpp
@@ -3,9 +3,9 @@
 /// silent.
 #pragma once
 
+#include "process/admission/placement_guard.hpp"
 #include "process/backend_notice.hpp"
 #include "process/gateway_state.hpp"
-#include "process/placement_guard.hpp"
 #include "request/forward_context.hpp"
 
 #include <memory>
--- a/source/process/backend_notice.hpp
+++ b/source/process/backend_notice.hpp
@@ -2,7 +2,7 @@
 /// What backend servers say about their own availability in the heads of their answers.
 #pragma once
 
-#include "process/backend_record.hpp"
+#include "process/membership/backend_record.hpp"
 #include "request/time_types.hpp"
 
 #include <functional>
--- a/source/process/forward_log.hpp
+++ b/source/process/forward_log.hpp
@@ -2,7 +2,7 @@
 /// Log events of a forwarded request: each decision with the data it was based on.
 #pragma once
 
-#include "process/dispatcher.hpp"
+#include "process/admission/dispatcher.hpp"
 #include "request/forward_context.hpp"
 
 #include <string_view>
--- a/source/process/forward_service.hpp
+++ b/source/process/forward_service.hpp
@@ -3,12 +3,12 @@
 #pragma once
 
 #include "connection/forward_attempt.hpp"
+#include "process/admission/placement_guard.hpp"
+#include "process/admission/placement_wait.hpp"
 #include "process/attempt_monitor.hpp"
 #include "process/crash_log.hpp"
 #include "process/forward_log.hpp"
 #include "process/gateway_state.hpp"
-#include "process/placement_guard.hpp"
-#include "process/placement_wait.hpp"
 #include "request/forward_context.hpp"
 
 #include <algorithm>
--- a/source/process/gateway_state.hpp
+++ b/source/process/gateway_state.hpp
@@ -3,11 +3,11 @@
 #pragma once
 
 #include "connection/unique_fd.hpp"
+#include "process/admission/dispatcher.hpp"
 #include "process/byte_budget.hpp"
 #include "process/crash_tracker.hpp"
-#include "process/dispatcher.hpp"
-#include "process/gateway_directory.hpp"
 #include "process/gateway_metrics.hpp"
+#include "process/membership/gateway_directory.hpp"
 #include "process/response_delay_estimator.hpp"
 #include "process/service_retry_budgets.hpp"
 #include "process/settings.hpp"
--- a/source/process/backend_registry.cpp
+++ b/source/process/membership/backend_registry.cpp
@@ -1,4 +1,4 @@
-#include "process/backend_registry.hpp"
+#include "process/membership/backend_registry.hpp"
 
 #include <xxhash.h>
 
--- a/source/process/backend_registry.hpp
+++ b/source/process/membership/backend_registry.hpp
@@ -3,7 +3,7 @@
 /// with passive health checks (outlier ejection) based on their responses.
 #pragma once
 
-#include "process/backend_record.hpp"
+#include "process/membership/backend_record.hpp"
 #include "request/time_types.hpp"
 
 #include <map>
--- a/source/process/gateway_directory.hpp
+++ b/source/process/membership/gateway_directory.hpp
@@ -9,7 +9,7 @@
 #pragma once
 
 #include "connection/unique_fd.hpp"
-#include "process/store_status.hpp"
+#include "process/membership/store_status.hpp"
 #include "request/time_types.hpp"
 
 #include <array>
--- a/source/process/candidate_choice.hpp
+++ b/source/process/placement/candidate_choice.hpp
@@ -2,8 +2,8 @@
 /// Selection among placement candidates.
 #pragma once
 
-#include "process/placement.hpp"
-#include "process/slot_contention.hpp"
+#include "process/placement/placement.hpp"
+#include "process/placement/slot_contention.hpp"
 
 #include <span>
 #include <string_view>
--- a/source/process/cell_placement.cpp
+++ b/source/process/placement/cell_placement.cpp
@@ -1,4 +1,4 @@
-#include "process/cell_placement.hpp"
+#include "process/placement/cell_placement.hpp"
 
 #include <algorithm>
 #include <map>
--- a/source/process/cell_placement.hpp
+++ b/source/process/placement/cell_placement.hpp
@@ -7,7 +7,7 @@
 /// gateway, where reports are fresh, and leaves it only after it has waited in vain.
 #pragma once
 
-#include "process/placement.hpp"
+#include "process/placement/placement.hpp"
 
 #include <functional>
 #include <optional>
--- a/source/process/load_tracker.cpp
+++ b/source/process/placement/load_tracker.cpp
@@ -1,6 +1,6 @@
-#include "process/load_tracker.hpp"
+#include "process/placement/load_tracker.hpp"
 
-#include "process/slot_contention.hpp"
+#include "process/placement/slot_contention.hpp"
 
 #include <xxhash.h>
 
--- a/source/process/load_tracker.hpp
+++ b/source/process/placement/load_tracker.hpp
@@ -3,8 +3,8 @@
 #pragma once
 
 #include "process/crash_news.hpp"
+#include "process/membership/store_status.hpp"
 #include "process/service_retry_budgets.hpp"
-#include "process/store_status.hpp"
 #include "request/time_types.hpp"
 
 #include <cstdint>
--- a/source/process/placement.cpp
+++ b/source/process/placement/placement.cpp
@@ -1,7 +1,7 @@
-#include "process/placement.hpp"
+#include "process/placement/placement.hpp"
 
-#include "process/candidate_choice.hpp"
-#include "process/prompt_placement.hpp"
+#include "process/placement/candidate_choice.hpp"
+#include "process/placement/prompt_placement.hpp"
 
 #include <algorithm>
 #include <cmath>
--- a/source/process/placement.hpp
+++ b/source/process/placement/placement.hpp
@@ -7,8 +7,8 @@
 /// prompt_placement.hpp describes how prompts share a pool.
 #pragma once
 
-#include "process/backend_record.hpp"
-#include "process/load_tracker.hpp"
+#include "process/membership/backend_record.hpp"
+#include "process/placement/load_tracker.hpp"
 #include "version/route_table.hpp"
 
 #include <optional>
--- a/source/process/prompt_placement.cpp
+++ b/source/process/placement/prompt_placement.cpp
@@ -1,6 +1,6 @@
-#include "process/prompt_placement.hpp"
+#include "process/placement/prompt_placement.hpp"
 
-#include "process/candidate_choice.hpp"
+#include "process/placement/candidate_choice.hpp"
 
 #include <algorithm>
 #include <cmath>
--- a/source/process/prompt_placement.hpp
+++ b/source/process/placement/prompt_placement.hpp
@@ -7,7 +7,7 @@
 /// prefill there delays no answer's events.
 #pragma once
 
-#include "process/placement.hpp"
+#include "process/placement/placement.hpp"
 
 #include <optional>
 #include <span>
--- a/source/process/relayed_store.hpp
+++ b/source/process/relayed_store.hpp
@@ -12,8 +12,8 @@
 /// even if every other call in the fleet is dead, a change is announced.
 #pragma once
 
-#include "process/gateway_directory.hpp"
 #include "process/logging.hpp"
+#include "process/membership/gateway_directory.hpp"
 #include "process/stored_row.hpp"
 #include "process/table_cache.hpp"
 
--- a/source/request/forward_context.hpp
+++ b/source/request/forward_context.hpp
@@ -4,7 +4,7 @@
 
 #include "connection/forward_attempt.hpp"
 #include "process/crash_news.hpp"
-#include "process/placement.hpp"
+#include "process/placement/placement.hpp"
 #include "request/forward_retry.hpp"
 
 #include <cstdint>
--- a/tests/model/policies.hpp
+++ b/tests/model/policies.hpp
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "model/load.hpp"
-#include "process/dispatcher.hpp"
+#include "process/admission/dispatcher.hpp"
 
 #include <concepts>
 #include <deque>
--- a/tests/process/cell_placement_test.cpp
+++ b/tests/process/cell_placement_test.cpp
@@ -1,6 +1,6 @@
-#include "process/cell_placement.hpp"
+#include "process/placement/cell_placement.hpp"
 
-#include "process/dispatcher.hpp"
+#include "process/admission/dispatcher.hpp"
 
 #include <criterion/criterion.h>
 #include <fmt/format.h>
--- a/tests/process/dispatcher_test.cpp
+++ b/tests/process/dispatcher_test.cpp
@@ -1,4 +1,4 @@
-#include "process/dispatcher.hpp"
+#include "process/admission/dispatcher.hpp"
 
 #include <criterion/criterion.h>
 
--- a/tests/process/gateway_directory_test.cpp
+++ b/tests/process/gateway_directory_test.cpp
@@ -1,4 +1,4 @@
-#include "process/gateway_directory.hpp"
+#include "process/membership/gateway_directory.hpp"
 
 #include <criterion/criterion.h>
 #include <fmt/format.h>
--- a/tests/process/load_tracker_test.cpp
+++ b/tests/process/load_tracker_test.cpp
@@ -1,4 +1,4 @@
-#include "process/load_tracker.hpp"
+#include "process/placement/load_tracker.hpp"
 
 #include <criterion/criterion.h>
 
--- a/tests/process/placement_test.cpp
+++ b/tests/process/placement_test.cpp
@@ -1,4 +1,4 @@
-#include "process/placement.hpp"
+#include "process/placement/placement.hpp"
 
 #include <criterion/criterion.h>
 
--- a/tests/process/slot_contention_test.cpp
+++ b/tests/process/slot_contention_test.cpp
@@ -1,7 +1,7 @@
-#include "process/slot_contention.hpp"
+#include "process/placement/slot_contention.hpp"
 
-#include "process/candidate_choice.hpp"
-#include "process/dispatcher.hpp"
+#include "process/admission/dispatcher.hpp"
+#include "process/placement/candidate_choice.hpp"
 
 #include <criterion/criterion.h>
 #include <fmt/format.h>
