Backend servers of evacuated zones get no new requests

The operator empties an availability zone by a row evacuate/ZONE in the table that also holds the configuration. Gateways ignored such rows.

Each gateway keeps the set of evacuated zones in its registry of backend servers.

Waiting requests are placed elsewhere, or refused as not run if their service has backend servers in evacuated zones only. A placement made before the evacuation is checked before each memory reservation and once its connection is open, and withdrawn without a retry of the budget. What runs finishes with its reservations.

--- a/source/connection/attempt_result.hpp
+++ b/source/connection/attempt_result.hpp
@@ -38,6 +38,7 @@
     milliseconds silence{0}; ///< Time without received bytes at the end of the attempt.
     bool oversized = false;  ///< The answer exceeded a limit on its bytes.
     bool broken_off = false; ///< The backend server closed or reset the connection.
+    bool withdrawn = false;  ///< Not sent, for a reason outside the backend server.
     bool backoff = false;    ///< The backend server may be tried again after some time.
     std::optional<time_point> first_event;
     milliseconds longest_pause{0}; ///< Longest gap between events.
--- a/source/connection/forward_attempt.hpp
+++ b/source/connection/forward_attempt.hpp
@@ -21,6 +21,10 @@
 concept attempt_observer = requires(Observer it, time_point now)
 {
     it.first_event();
+    // Returns whether the request may be sent now that the connection is open.
+    {
+        it.may_send()
+        } -> std::same_as<bool>;
     // Returns whether another backend server takes over.
     {
         it.take_over(now)
@@ -60,6 +64,11 @@
         {
             return finish(attempt_end::not_run, it.what());
         }
+        if (!observer_.may_send())
+        {
+            result_.withdrawn = true;
+            return finish(attempt_end::not_run, "the placement was withdrawn");
+        }
         try
         {
             stream->send_until_response(
--- a/source/process/admission/dispatcher.cpp
+++ b/source/process/admission/dispatcher.cpp
@@ -425,22 +425,4 @@
     update_recheck_times(now);
 }
 
-void dispatcher::update_recheck_times(time_point now)
-{
-    std::map<std::string_view, std::optional<time_point>> ends;
-    for (auto* it : queue_)
-    {
-        const auto [entry, is_new] = ends.try_emplace(it->request_->service);
-        if (is_new)
-        {
-            entry->second = registry_.next_backoff_end(it->request_->service, now);
-        }
-        if (it->recheck_at_ != entry->second)
-        {
-            it->recheck_at_ = entry->second;
-            signal_event_fd(it->wake_);
-        }
-    }
-}
-
 } // namespace pistachiopost
--- a/source/process/admission/dispatcher.hpp
+++ b/source/process/admission/dispatcher.hpp
@@ -45,6 +45,7 @@
     std::optional<placement> place_;
     /// When a backend server of its service that asked for backoff returns.
     std::optional<time_point> recheck_at_;
+    bool evacuated_ = false; ///< All backend servers of its service are.
     unique_fd wake_;
 };
 
@@ -103,6 +104,15 @@
     /// none is available before.
     [[nodiscard]] std::optional<time_point> unavailable_until(std::string_view service,
                                                               time_point now) const;
+    /// Returns the availability zones of the backend servers of `service` if all of them
+    /// are evacuated; nothing otherwise.
+    [[nodiscard]] std::vector<std::string>
+    evacuated_zones_of(std::string_view service) const;
+    /// Returns the evacuated availability zone that a placement uses, if any.
+    [[nodiscard]] std::optional<std::string>
+    evacuated_zone_in(const placement& place) const;
+    /// Returns the number of evacuated availability zones.
+    [[nodiscard]] std::size_t evacuated_zone_count() const;
     /// Returns the number of queued requests.
     [[nodiscard]] std::size_t waiting() const;
 
@@ -162,7 +172,8 @@
     void serve_queue(time_point now);
     [[nodiscard]] std::optional<time_point> outage_end(std::string_view service,
                                                        time_point now) const;
-    /// Wakes the requests that wait for another end of a backoff than before.
+    /// Wakes the requests that wait for another end of a backoff than before, or whose
+    /// service has lost its last backend server outside the evacuated zones.
     void update_recheck_times(time_point now);
     [[nodiscard]] double min_served_cost() const;
 
--- a/source/process/admission/placement_wait.cpp
+++ b/source/process/admission/placement_wait.cpp
@@ -1,8 +1,13 @@
 #include "process/admission/placement_wait.hpp"
 
 #include "process/forward_log.hpp"
+#include "process/logging.hpp"
+
+#include <fmt/format.h>
+#include <fmt/ranges.h>
 
 #include <algorithm>
+#include <string>
 #include <utility>
 
 namespace pistachiopost {
@@ -28,6 +33,17 @@
     return std::min(limit, run.call.until);
 }
 
+/// Counts and logs a request that is refused because of evacuations.
+void record_evacuated(gateway_state& state, forward_context& run,
+                      std::string_view service, const std::vector<std::string>& zones)
+{
+    const auto names = fmt::format("{}", fmt::join(zones, ", "));
+    run.last_error = "all backend servers are in evacuated zones: " + names;
+    state.metrics.increment("evacuation_refusals");
+    log_event(log_level::info, "no backend server outside the evacuated zones",
+              {{"request", run.call.request.id}, {"service", service}, {"zones", names}});
+}
+
 std::optional<placement> wait_for_placement(gateway_state& state, forward_context& run,
                                             const placement_request& wanted)
 {
@@ -42,7 +58,9 @@
     {
         const auto back = state.dispatch.unavailable_until(wanted.service, steady::now());
         const bool closed = state.queue_closed;
-        const bool in_vain = closed || (back && *back >= wait_deadline);
+        const auto evacuated = state.dispatch.evacuated_zones_of(wanted.service);
+        const bool in_vain =
+            closed || !evacuated.empty() || (back && *back >= wait_deadline);
         const auto until = std::min(wait_deadline, state.dispatch.recheck_time(queued));
         const auto woken = in_vain ? wake_cause::timeout
                                    : wait_readable(queued.wake().get(), caller, until);
@@ -54,7 +72,12 @@
                 continue;
             }
             auto place = state.dispatch.dequeue(queued, now);
-            if (!place)
+            if (!place && !closed && !evacuated.empty())
+            {
+                run.out_of_time = false;
+                record_evacuated(state, run, wanted.service, evacuated);
+            }
+            else if (!place)
             {
                 run.out_of_time = !in_vain;
                 run.last_error =
--- a/source/process/attempt_monitor.cpp
+++ b/source/process/attempt_monitor.cpp
@@ -6,6 +6,22 @@
 
 namespace pistachiopost {
 
+bool attempt_monitor::may_send()
+{
+    const auto& place = held_.get();
+    const auto zone = state_.dispatch.evacuated_zone_in(place);
+    if (!zone)
+    {
+        return true;
+    }
+    state_.metrics.increment("withdrawn_placements");
+    log_event(log_level::info, "placement withdrawn: its zone is evacuated",
+              {{"request", run_.call.request.id},
+               {"backend", place.main.backend.id},
+               {"evacuated_zone", *zone}});
+    return false;
+}
+
 bool attempt_monitor::take_over(time_point now)
 {
     const auto& backend = held_.get().main.backend;
--- a/source/process/attempt_monitor.hpp
+++ b/source/process/attempt_monitor.hpp
@@ -23,6 +23,9 @@
     {
     }
 
+    /// Returns whether the request may still be sent to the placement's backend servers.
+    /// Their zones may have been evacuated since it was made.
+    bool may_send();
     /// Records that the first event has arrived.
     void first_event() { held_.prefill_done(); }
     /// Applies what the backend server says about its availability.
--- a/source/process/forward_service.hpp
+++ b/source/process/forward_service.hpp
@@ -168,12 +168,16 @@
             }
             memory_lease<Codec> memory(on_notice);
             auto terms = make_terms(run, held->get());
-            if (!reserve_memory(run, held->get(), memory, terms))
+            attempt_monitor monitor(state_, run, wanted, *held);
+            if (!reserve_memory(run, held->get(), memory, terms, monitor))
             {
                 continue;
             }
-            attempt_monitor monitor(state_, run, wanted, *held);
             const auto result = run_attempt(run, held->get(), terms, memory, monitor);
+            if (result.withdrawn)
+            {
+                continue;
+            }
             successor = monitor.take_successor();
             run.longest_pause = std::max(run.longest_pause, result.longest_pause);
             if (result.first_event && !run.first_event)
@@ -222,9 +226,11 @@
         return false;
     }
 
-    /// Reserves memory as the placement requires; false if an engine refuses.
+    /// Reserves memory as the placement requires; false if an engine refuses or the
+    /// placement was withdrawn.
     bool reserve_memory(forward_context& run, const placement& place,
-                        memory_lease<Codec>& memory, forward_options& terms)
+                        memory_lease<Codec>& memory, forward_options& terms,
+                        attempt_monitor& monitor)
     {
         for (std::size_t i = 0; i < place.helpers.size(); ++i)
         {
@@ -233,6 +239,10 @@
             {
                 continue;
             }
+            if (!monitor.may_send())
+            {
+                return false;
+            }
             if (!memory.add(it.backend, it.reserved_tokens))
             {
                 run.full_engines.push_back(it.backend.id);
--- a/source/process/gateway_process.hpp
+++ b/source/process/gateway_process.hpp
@@ -244,7 +244,8 @@
                 state.metrics.text({state.settings.self.vm, unix_time.count(),
                                     state.routes.version(), state.dispatch.waiting(),
                                     state.connections,
-                                    state.crashes.blocked_count(steady::now())})};
+                                    state.crashes.blocked_count(steady::now()),
+                                    state.dispatch.evacuated_zone_count()})};
         });
     });
     task serve_callers([&] { accept_callers<codec>(state, std::move(callers)); });
--- a/source/process/membership/backend_registry.cpp
+++ b/source/process/membership/backend_registry.cpp
@@ -246,6 +246,63 @@
     }
 }
 
+bool backend_registry::evacuate(std::string_view zone)
+{
+    return evacuated_zones_.emplace(zone).second;
+}
+
+bool backend_registry::restore(std::string_view zone, time_point now)
+{
+    const auto it = evacuated_zones_.find(zone);
+    if (it == evacuated_zones_.end())
+    {
+        return false;
+    }
+    evacuated_zones_.erase(it);
+    assume_cold(zone, now);
+    return true;
+}
+
+std::vector<std::string>
+backend_registry::evacuated_zones_of(std::string_view service) const
+{
+    if (evacuated_zones_.empty())
+    {
+        return {};
+    }
+    std::set<std::string_view> zones;
+    for (const auto& [id, it] : backends_)
+    {
+        if (it.record.service != service)
+        {
+            continue;
+        }
+        if (!is_evacuated(it.record.zone))
+        {
+            return {};
+        }
+        zones.insert(it.record.zone);
+    }
+    return {zones.begin(), zones.end()};
+}
+
+void backend_registry::assume_cold(std::string_view zone, time_point now)
+{
+    for (auto& [id, it] : backends_)
+    {
+        if (it.record.zone == zone)
+        {
+            it.assumed_cold_at = now;
+        }
+    }
+}
+
+std::optional<time_point> backend_registry::assumed_cold_at(std::string_view id) const
+{
+    const auto it = backends_.find(id);
+    return it == backends_.end() ? std::nullopt : it->second.assumed_cold_at;
+}
+
 std::vector<eligible_backend> backend_registry::eligible(std::string_view service,
                                                          time_point now) const
 {
@@ -254,7 +311,7 @@
     for (const auto& [id, it] : backends_)
     {
         if (it.record.service != service || it.record.leaving || it.announced_leaving ||
-            it.backoff_until > now)
+            it.backoff_until > now || is_evacuated(it.record.zone))
         {
             continue;
         }
@@ -272,7 +329,7 @@
     for (const auto& [id, it] : backends_)
     {
         if (it.record.service == service && !it.record.leaving && !it.announced_leaving &&
-            it.backoff_until > now)
+            it.backoff_until > now && !is_evacuated(it.record.zone))
         {
             next = std::min(next.value_or(it.backoff_until), it.backoff_until);
         }
--- a/source/process/membership/backend_registry.hpp
+++ b/source/process/membership/backend_registry.hpp
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -64,9 +65,34 @@
     /// Records a successful response and resets the failure counts.
     void record_success(std::string_view id);
 
+    /// Withdraws an availability zone: its backend servers are not eligible until
+    /// restore(). Returns whether it was in service.
+    bool evacuate(std::string_view zone);
+    /// Returns an availability zone to service; its backend servers are then assumed to
+    /// be cold. Returns whether it was evacuated.
+    bool restore(std::string_view zone, time_point now);
+    [[nodiscard]] bool is_evacuated(std::string_view zone) const
+    {
+        return evacuated_zones_.contains(zone);
+    }
+    [[nodiscard]] const std::set<std::string, std::less<>>& evacuated_zones() const
+    {
+        return evacuated_zones_;
+    }
+    /// Returns the availability zones of a service's backend servers if all of them are
+    /// evacuated; nothing otherwise, or if the service has no backend servers.
+    [[nodiscard]] std::vector<std::string>
+    evacuated_zones_of(std::string_view service) const;
+    /// Records that the backend servers of an availability zone may be cold from `now`
+    /// on, since they received no requests for some time.
+    void assume_cold(std::string_view zone, time_point now);
+    /// Returns since when a backend server is assumed to be cold; nothing if it never
+    /// was.
+    [[nodiscard]] std::optional<time_point> assumed_cold_at(std::string_view id) const;
+
     /// Returns the eligible backend servers of a service in an order that is the same at
     /// all gateways. If all are ejected, returns the ejected ones, but never
-    /// those that leave or asked for backoff.
+    /// those that leave, asked for backoff or are in an evacuated zone.
     [[nodiscard]] std::vector<eligible_backend> eligible(std::string_view service,
                                                          time_point now) const;
     /// Returns when the first backend server of a service that asked for backoff is
@@ -92,12 +118,14 @@
         time_point ejected_until;
         bool announced_leaving = false;
         time_point backoff_until;
+        std::optional<time_point> assumed_cold_at;
     };
 
     /// Returns the entry of this incarnation, or null if there is none.
     tracked_backend* find_incarnation(const backend_record& backend);
 
     std::map<std::string, tracked_backend, std::less<>> backends_;
+    std::set<std::string, std::less<>> evacuated_zones_;
     std::optional<time_point> source_down_since_;
     std::optional<time_point> source_recovered_at_;
 };
--- a/source/process/platform_followers.hpp
+++ b/source/process/platform_followers.hpp
@@ -6,34 +6,150 @@
 #include "process/logging.hpp"
 #include "process/stored_row.hpp"
 
+#include <algorithm>
 #include <exception>
+#include <iterator>
 #include <optional>
+#include <set>
+#include <string>
+#include <string_view>
 #include <vector>
 
 namespace pistachiopost {
 
-/// Follows the operator's table and activates newer configurations.
+/// Follows the operator's table and evacuates availability zones or returns them to
+/// service.
 template <typename Codec>
-class configuration_follower
+class evacuation_follower
 {
 public:
-    explicit configuration_follower(gateway_state& state) : state_(state) {}
+    explicit evacuation_follower(gateway_state& state) : state_(state) {}
 
-    void on_snapshot(const row_batch& batch, time_point now) { on_changes(batch, now); }
-    void on_changes(const row_batch& batch, time_point)
+    /// Zones without a row return to service: their rows may have been removed unseen.
+    void on_snapshot(const row_batch& batch, time_point now)
     {
+        std::set<std::string, std::less<>> listed;
         for (const auto& it : batch.rows)
         {
-            if (it.key == Codec::configuration_key && !it.removed)
+            const auto zone = it.removed ? std::nullopt : evacuated_zone(it);
+            if (zone)
             {
-                apply(it);
+                listed.emplace(*zone);
             }
         }
+        std::set<std::string, std::less<>> unlisted;
+        state_.dispatch.update_registry(now, [&](auto& registry) {
+            const auto& known = registry.evacuated_zones();
+            std::set_difference(known.begin(), known.end(), listed.begin(), listed.end(),
+                                std::inserter(unlisted, unlisted.end()));
+            std::erase_if(listed, [&](const auto& it) { return !registry.evacuate(it); });
+            for (const auto& it : unlisted)
+            {
+                registry.restore(it, now);
+            }
+        });
+        for (const auto& it : listed)
+        {
+            log_change(it, true, batch.version);
+        }
+        for (const auto& it : unlisted)
+        {
+            log_change(it, false, batch.version);
+        }
+    }
+
+    void on_changes(const row_batch& batch, time_point now)
+    {
+        for (const auto& it : batch.rows)
+        {
+            const auto zone = evacuated_zone(it);
+            if (!zone)
+            {
+                continue;
+            }
+            bool changed = false;
+            state_.dispatch.update_registry(now, [&](auto& registry) {
+                changed =
+                    it.removed ? registry.restore(*zone, now) : registry.evacuate(*zone);
+            });
+            if (changed)
+            {
+                log_change(*zone, !it.removed, it.version);
+            }
+        }
+    }
+
+private:
+    /// Returns the zone that a row is about; nothing if it is about something else.
+    std::optional<std::string_view> evacuated_zone(const stored_row& row)
+    {
+        const auto decoded = Codec::decode_evacuation(row.key, row.value);
+        if (!decoded)
+        {
+            return std::nullopt;
+        }
+        if (decoded->zone.empty())
+        {
+            state_.metrics.increment("unreadable_evacuations");
+            log_event(log_level::warn, "evacuation without a zone ignored",
+                      {{"row_version", row.version}});
+            return std::nullopt;
+        }
+        if (!row.removed && !decoded->valid_document)
+        {
+            state_.metrics.increment("unreadable_evacuations");
+            log_event(log_level::warn, "evacuation with an invalid value takes effect",
+                      {{"evacuated_zone", decoded->zone}, {"row_version", row.version}});
+        }
+        return decoded->zone;
+    }
+
+    static void log_change(std::string_view zone, bool evacuated, std::uint64_t version)
+    {
+        log_event(log_level::warn,
+                  evacuated ? "zone evacuated" : "zone returned to service",
+                  {{"evacuated_zone", zone}, {"row_version", version}});
+    }
+
+    gateway_state& state_;
+};
+
+/// Follows the operator's table: evacuates availability zones and activates newer
+/// configurations. Evacuations come first, since a gateway is ready once it has a
+/// configuration.
+template <typename Codec>
+class configuration_follower
+{
+public:
+    explicit configuration_follower(gateway_state& state)
+        : state_(state), evacuations_(state)
+    {
+    }
+
+    void on_snapshot(const row_batch& batch, time_point now)
+    {
+        evacuations_.on_snapshot(batch, now);
+        apply_configuration(batch);
+    }
+    void on_changes(const row_batch& batch, time_point now)
+    {
+        evacuations_.on_changes(batch, now);
+        apply_configuration(batch);
     }
     void on_store_unavailable(time_point) {}
     void on_store_available(time_point) {}
 
 private:
+    void apply_configuration(const row_batch& batch)
+    {
+        for (const auto& it : batch.rows)
+        {
+            if (it.key == Codec::configuration_key && !it.removed)
+            {
+                apply(it);
+            }
+        }
+    }
     void apply(const stored_row& row)
     {
         try
@@ -56,6 +172,7 @@
     }
 
     gateway_state& state_;
+    evacuation_follower<Codec> evacuations_;
 };
 
 /// Follows the list of backend servers.
