Reports of load cross to another zone once and are forwarded there

Cause: a fleet of 27 to 31 gateways exchanges reports in a full mesh, so each report crosses to another zone once for each gateway there, up to 20 times a second.

Change: a report, and a digest of a cell, goes to one live gateway of each other zone, another for each report, which forwards the datagram to the others of its zone. The message states the sender's address for that; reports without it are still read. Announcements to all, every 5 s, go directly as before. A fleet with one gateway a zone sends as before.

Tests: choice of the first recipients without a network, a placement that becomes known to all gateways of another zone by datagrams, reports without the new fields.

--- a/source/connection/load_report_codec.cpp
+++ b/source/connection/load_report_codec.cpp
@@ -158,6 +158,24 @@
     return it;
 }
 
+// Gateways of earlier versions end their reports before this element.
+constexpr std::size_t address_index = 11;
+
+endpoint read_address(const json& from)
+{
+    const auto text = from.get<std::string>();
+    if (text.empty())
+    {
+        return {};
+    }
+    auto it = parse_endpoint(text);
+    if (!it)
+    {
+        throw codec_error("malformed load report: invalid address of the sender");
+    }
+    return *it;
+}
+
 backend_load read_load(const json& from)
 {
     return {read_count32(from.at(1)), read_count32(from.at(2)), read_count(from.at(3)),
@@ -174,7 +192,8 @@
          encode_list(message.loads, encode_load), encode_crash_news(message.crashes),
          message.zone, message.cores, message.is_digest, encode_status(message.store),
          encode_list(message.retries, encode_retries),
-         encode_list(message.waiting, encode_waiting)});
+         encode_list(message.waiting, encode_waiting),
+         message.address.port == 0 ? "" : to_string(message.address), message.forward});
     const auto bytes = json::to_msgpack(body);
     return {bytes.begin(), bytes.end()};
 }
@@ -206,6 +225,11 @@
         {
             it.waiting.push_back({one.at(0), one.at(1)});
         }
+        if (body.size() > address_index)
+        {
+            it.address = read_address(body.at(address_index));
+            it.forward = body.at(address_index + 1);
+        }
         return it;
     }
     catch (const json::exception& ex)
--- a/source/connection/peer_link.cpp
+++ b/source/connection/peer_link.cpp
@@ -5,6 +5,7 @@
 #include "connection/tcp_stream.hpp"
 #include "process/crash_log.hpp"
 #include "process/logging.hpp"
+#include "process/membership/report_fanout.hpp"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -104,7 +105,7 @@
         {
             zones.insert(last_->zones.begin(), last_->zones.end());
         }
-        send(std::move(message), directory_.report_receivers(zones, now));
+        send_by_zone(std::move(message), directory_.report_receivers(zones, now));
     }
     else
     {
@@ -135,7 +136,15 @@
     auto message = dispatcher_.digest(now);
     message.store = directory_.own_status(now);
     message.crashes = crashes_.news(now);
-    send(std::move(message), receivers);
+    send_by_zone(std::move(message), receivers);
+}
+
+void peer_link::send_by_zone(load_report_message message,
+                             std::span<const report_receiver> receivers)
+{
+    message.forward = true;
+    send(std::move(message),
+         first_recipients(receivers, directory_.self().zone, forwarder_turn_++));
 }
 
 void peer_link::send(load_report_message message, std::span<const endpoint> receivers)
@@ -144,9 +153,15 @@
     message.gateway = self.name;
     message.zone = self.zone;
     message.cores = self.cores;
+    message.address = self.address;
     message.boot = boot_;
     message.sequence = ++sequence_;
-    const auto bytes = encode_load_report(message);
+    send_bytes(encode_load_report(message), receivers);
+}
+
+void peer_link::send_bytes(std::string_view bytes,
+                           std::span<const endpoint> receivers) const
+{
     for (const auto& it : receivers)
     {
         const auto addr = to_sockaddr(it);
@@ -187,12 +202,18 @@
 void peer_link::receive(std::string_view bytes, const endpoint& sender, time_point now)
 {
     const auto message = decode_load_report(bytes);
-    const gateway_record record{message.gateway, sender, message.zone, message.cores};
+    const auto& origin = message.address.port == 0 ? sender : message.address;
+    // What another gateway of this zone has forwarded comes from its address.
+    if (message.forward && origin == sender && message.zone != directory_.self().zone)
+    {
+        send_bytes(bytes, directory_.zone_peers(now));
+    }
+    const gateway_record record{message.gateway, origin, message.zone, message.cores};
     if (directory_.record_message(record, message.store, now) &&
         directory_.shares_cell(message.zone))
     {
         const std::lock_guard lock(mutex_);
-        newcomers_.push_back(sender);
+        newcomers_.push_back(origin);
         dispatcher_.request_report();
     }
     if (!message.is_digest && directory_.shares_cell(message.zone))
--- a/source/connection/peer_link.hpp
+++ b/source/connection/peer_link.hpp
@@ -47,6 +47,10 @@
     std::vector<endpoint> take_newcomers();
     void send_digest(time_point now);
     void send(load_report_message message, std::span<const endpoint> receivers);
+    /// Sends a message that its first recipients in other zones forward there.
+    void send_by_zone(load_report_message message,
+                      std::span<const report_receiver> receivers);
+    void send_bytes(std::string_view bytes, std::span<const endpoint> receivers) const;
     void receive(std::string_view bytes, const endpoint& sender, time_point now);
 
     gateway_directory& directory_;
@@ -56,6 +60,7 @@
     crash_tracker& crashes_;
     service_retry_budgets& budgets_;
     std::uint64_t sequence_ = 0;
+    std::uint64_t forwarder_turn_ = 0;
     std::optional<sent_report> last_;
     time_point digest_sent_at_;
     std::optional<time_point> sent_to_all_at_;
--- a/source/process/membership/gateway_directory.cpp
+++ b/source/process/membership/gateway_directory.cpp
@@ -121,23 +121,47 @@
     return !has_cells_locked() || zone == self_.zone;
 }
 
-std::vector<endpoint>
-gateway_directory::report_receivers(const std::set<std::string, std::less<>>& zones,
-                                    time_point now) const
+template <typename Predicate>
+std::vector<report_receiver> gateway_directory::select_receivers(const Predicate& accepts,
+                                                                 time_point now) const
 {
-    const std::lock_guard lock(mutex_);
-    std::vector<endpoint> list;
+    std::vector<report_receiver> list;
     for (const auto& [name, it] : members_)
     {
         const bool current = now - it.heard_at.value_or(it.added_at) < removal_timeout;
-        if (current && (in_cell(it.record.zone) || zones.contains(it.record.zone)))
+        if (current && accepts(it.record))
         {
-            list.push_back(it.record.address);
+            list.push_back(
+                {it.record.address, it.record.zone, is_current(it.heard_at, now)});
         }
     }
     return list;
 }
 
+std::vector<report_receiver>
+gateway_directory::report_receivers(const std::set<std::string, std::less<>>& zones,
+                                    time_point now) const
+{
+    const std::lock_guard lock(mutex_);
+    return select_receivers(
+        [&](const gateway_record& it) {
+            return in_cell(it.zone) || zones.contains(it.zone);
+        },
+        now);
+}
+
+std::vector<endpoint> gateway_directory::zone_peers(time_point now) const
+{
+    const std::lock_guard lock(mutex_);
+    std::vector<endpoint> list;
+    for (auto& it : select_receivers(
+             [&](const gateway_record& one) { return one.zone == self_.zone; }, now))
+    {
+        list.push_back(std::move(it.address));
+    }
+    return list;
+}
+
 std::vector<endpoint> gateway_directory::all_others() const
 {
     const std::lock_guard lock(mutex_);
@@ -149,23 +173,15 @@
     return list;
 }
 
-std::vector<endpoint> gateway_directory::digest_receivers(time_point now) const
+std::vector<report_receiver> gateway_directory::digest_receivers(time_point now) const
 {
     const std::lock_guard lock(mutex_);
-    std::vector<endpoint> list;
     if (!has_cells_locked() || rank_in_zone(now, false) != 0)
     {
-        return list;
+        return {};
     }
-    for (const auto& [name, it] : members_)
-    {
-        const bool current = now - it.heard_at.value_or(it.added_at) < removal_timeout;
-        if (current && !in_cell(it.record.zone))
-        {
-            list.push_back(it.record.address);
-        }
-    }
-    return list;
+    return select_receivers([&](const gateway_record& it) { return !in_cell(it.zone); },
+                            now);
 }
 
 std::size_t gateway_directory::size() const
--- a/source/process/membership/gateway_directory.hpp
+++ b/source/process/membership/gateway_directory.hpp
@@ -37,6 +37,14 @@
     bool operator==(const gateway_record&) const = default;
 };
 
+/// A gateway that is to receive a report.
+struct report_receiver
+{
+    endpoint address;
+    std::string zone;
+    bool live = false; ///< Was heard lately.
+};
+
 /// Fleets of up to this many gateways exchange reports in a full mesh.
 inline constexpr std::size_t max_full_mesh_gateways = 32;
 
@@ -63,14 +71,17 @@
     /// Returns whether gateways of `zone` are in the cell of this one.
     [[nodiscard]] bool shares_cell(std::string_view zone) const;
     /// Returns the receivers of a load report: the cell and the gateways of `zones`.
-    [[nodiscard]] std::vector<endpoint>
+    [[nodiscard]] std::vector<report_receiver>
     report_receivers(const std::set<std::string, std::less<>>& zones,
                      time_point now) const;
     /// Returns all other gateways, including those that are silent.
     [[nodiscard]] std::vector<endpoint> all_others() const;
     /// Returns the receivers of this gateway's digest: the gateways outside the cell, or
     /// nobody if another gateway sends it.
-    [[nodiscard]] std::vector<endpoint> digest_receivers(time_point now) const;
+    [[nodiscard]] std::vector<report_receiver> digest_receivers(time_point now) const;
+    /// Returns the other gateways of this zone, to which reports of other zones are
+    /// forwarded.
+    [[nodiscard]] std::vector<endpoint> zone_peers(time_point now) const;
     /// Returns the number of gateways, including this one.
     [[nodiscard]] std::size_t size() const;
     /// Returns the number of live gateways of the cell, including this one.
@@ -136,6 +147,10 @@
         time_point announced_at;
     };
 
+    /// Returns the members that `accepts` and that were not silent for long.
+    template <typename Predicate>
+    [[nodiscard]] std::vector<report_receiver> select_receivers(const Predicate& accepts,
+                                                                time_point now) const;
     [[nodiscard]] bool in_cell(std::string_view zone) const;
     [[nodiscard]] bool has_cells_locked() const;
     [[nodiscard]] bool is_starting(time_point now) const;
--- a/source/process/placement/load_tracker.hpp
+++ b/source/process/placement/load_tracker.hpp
@@ -2,6 +2,7 @@
 /// Tracks the load that this gateway and its peers put on each backend server.
 #pragma once
 
+#include "connection/unique_fd.hpp"
 #include "process/crash_news.hpp"
 #include "process/membership/store_status.hpp"
 #include "process/service_retry_budgets.hpp"
@@ -55,6 +56,8 @@
     double cores = 0;           ///< Processor share of the sender's VM.
     std::uint64_t sequence = 0; ///< Increases with each message of one process.
     std::uint64_t boot = 0;     ///< Differs between processes of one gateway.
+    endpoint address;           ///< Of the sender; empty if it does not state it.
+    bool forward = false;       ///< Its first recipient in another zone forwards it.
     /// The loads are those of all gateways on the backend servers of the zone, not those
     /// of the sender alone.
     bool is_digest = false;
--- a/tests/connection/peer_link_test.cpp
+++ b/tests/connection/peer_link_test.cpp
@@ -148,6 +148,42 @@
     cr_assert(it.eventually([](node& one) { return one.known_requests() == 0; }));
 }
 
+/// A report crosses to another zone once; without its being forwarded there, the other
+/// gateways of that zone would place requests on servers that are full.
+Test(peer_link, placement_becomes_known_to_all_gateways_of_another_zone)
+{
+    std::vector<std::unique_ptr<node>> nodes;
+    std::vector<gateway_record> records;
+    for (std::uint16_t i = 0; i < 5; ++i)
+    {
+        const auto address = fmt::format("127.78.{}.{}", 1 + getpid() % 250, 1 + i);
+        records.push_back(
+            {fmt::format("g-{}", i), {address, 7340}, i == 0 ? "z" : "y", 0.5});
+        nodes.push_back(std::make_unique<node>(records.back()));
+    }
+    const auto until = steady::now() + seconds{20};
+    for (auto& it : nodes)
+    {
+        it->directory.add_published(records, steady::now());
+        // Its only slot tells whether the placement is known.
+        const backend_record record{"i-1", "plain", {"10.0.0.1", 80}, "z", 1, false, 1};
+        it->dispatch.update_registry(
+            steady::now(), [&](auto& one) { one.upsert(record, steady::now()); });
+    }
+    placement_request request;
+    request.service = "plain";
+    const auto place = nodes[0]->dispatch.try_place("ann", request, steady::now());
+    cr_assert(place.has_value());
+    for (auto& it : nodes)
+    {
+        while (it->dispatch.snapshot("plain", steady::now()).with_slot > 0)
+        {
+            cr_assert_lt(steady::now(), until, "%s", it->directory.self().name.c_str());
+            std::this_thread::sleep_for(milliseconds{5});
+        }
+    }
+}
+
 Test(peer_link, request_that_crashes_backend_servers_is_blocked_at_all_gateways)
 {
     peer_fixture it;
@@ -208,6 +244,20 @@
     cr_assert(decode_load_report(encode_load_report(message)).crashes == message.crashes);
 }
 
+Test(peer_link, report_of_a_gateway_that_states_no_address_is_decoded)
+{
+    load_report_message message;
+    message.gateway = "g-1";
+    auto body = nlohmann::json::from_msgpack(encode_load_report(message));
+    body.erase(12);
+    body.erase(11);
+    const auto bytes = nlohmann::json::to_msgpack(body);
+    const auto decoded = decode_load_report(std::string(bytes.begin(), bytes.end()));
+    cr_assert_eq(decoded.gateway, "g-1");
+    cr_assert_eq(decoded.address.port, 0);
+    cr_assert_not(decoded.forward);
+}
+
 Test(peer_link, malformed_report_of_crashes_is_rejected)
 {
     const auto is_rejected = [](const nlohmann::json& crashes) {
--- a/tests/process/gateway_directory_test.cpp
+++ b/tests/process/gateway_directory_test.cpp
@@ -1,8 +1,11 @@
 #include "process/membership/gateway_directory.hpp"
+#include "process/membership/report_fanout.hpp"
 
 #include <criterion/criterion.h>
 #include <fmt/format.h>
 
+#include <set>
+
 using namespace pistachiopost;
 
 namespace {
@@ -279,3 +282,45 @@
     cr_assert_eq(it.directory.relays(table, start).size(), 1U);
     cr_assert(it.directory.relays(watched_table::backends, start).empty());
 }
+
+Test(report_fanout, report_crosses_to_each_other_zone_once)
+{
+    directory_fixture it;
+    it.add_fleet(9, start);
+    const auto first = first_recipients(it.directory.report_receivers({}, start), "a", 0);
+    cr_assert_eq(first.size(), 9U + 2U, "its own zone, and one gateway of b and of c");
+}
+
+/// One that fails would otherwise keep its whole zone from hearing a gateway for as long
+/// as it takes to count as silent.
+Test(report_fanout, each_report_is_forwarded_by_another_gateway)
+{
+    directory_fixture it;
+    it.add_fleet(9, start);
+    const auto receivers = it.directory.report_receivers({}, start);
+    std::set<endpoint> forwarders;
+    for (std::uint64_t turn = 0; turn < 9; ++turn)
+    {
+        forwarders.insert(first_recipients(receivers, "a", turn).back());
+    }
+    cr_assert_eq(forwarders.size(), 9U);
+}
+
+Test(report_fanout, silent_gateways_do_not_forward)
+{
+    directory_fixture it;
+    it.add_fleet(2, start);
+    const auto later = start + seconds{2};
+    it.directory.record_message(it.record("b-1", "b", 0.01, 1'003), {}, later);
+    const auto receivers = it.directory.report_receivers({}, later);
+    for (std::uint64_t turn = 0; turn < 4; ++turn)
+    {
+        const auto first = first_recipients(receivers, "a", turn);
+        const std::set<endpoint> known(first.begin(), first.end());
+        cr_assert(known.contains({"10.0.0.1", 1'003}), "the live gateway of b");
+        cr_assert_not(known.contains({"10.0.0.1", 1'002}));
+        cr_assert(known.contains({"10.0.0.1", 1'004}) &&
+                      known.contains({"10.0.0.1", 1'005}),
+                  "no gateway of c is known to live");
+    }
+}
