Requests stay in the regions that their route and customer allow

The lists of route and customer are joined at the arrival of a request. The new setting zones names the region of each zone; a zone without one serves no such request. If regions or evacuations leave a request no backend server, it is refused at once as not run, with a log line that names both.

--- a/source/process/admission/dispatcher.cpp
+++ b/source/process/admission/dispatcher.cpp
@@ -344,6 +344,12 @@
                                                     time_point now)
 {
     auto candidates = candidates_for(request.service, cache, now);
+    if (request.regions)
+    {
+        std::erase_if(candidates, [&](const auto& it) {
+            return !allows_zone(request, it.backend->zone);
+        });
+    }
     if (!yield_to_rivals(request, candidates, now))
     {
         return std::nullopt;
--- a/source/process/admission/dispatcher.hpp
+++ b/source/process/admission/dispatcher.hpp
@@ -45,7 +45,7 @@
     std::optional<placement> place_;
     /// When a backend server of its service that asked for backoff returns.
     std::optional<time_point> recheck_at_;
-    bool evacuated_ = false; ///< All backend servers of its service are.
+    bool excluded_ = false; ///< From all backend servers of its service.
     unique_fd wake_;
 };
 
@@ -60,13 +60,29 @@
     double least_backlog_ms = 0;
 };
 
+/// Regions by availability zone.
+using zone_regions = std::map<std::string, std::string, std::less<>>;
+
+/// Why none of the backend servers of a service may serve a request, if so.
+struct service_exclusion
+{
+    bool outside_regions = false; ///< None is in a region that the request allows.
+    /// The zones of the others, all of which are evacuated.
+    std::vector<std::string> evacuated_zones;
+
+    explicit operator bool() const { return outside_regions || !evacuated_zones.empty(); }
+    bool operator==(const service_exclusion&) const = default;
+};
+
 /// The dispatcher of a gateway. Thread-safe.
 class dispatcher
 {
 public:
     /// `zone` and `name` are those of this gateway.
-    explicit dispatcher(std::string zone, std::string_view name = {})
-        : zone_(std::move(zone)), self_(contention_hash(name))
+    explicit dispatcher(std::string zone, std::string_view name = {},
+                        zone_regions regions = {})
+        : zone_(std::move(zone)), self_(contention_hash(name)),
+          regions_(std::move(regions))
     {
     }
 
@@ -104,10 +120,8 @@
     /// none is available before.
     [[nodiscard]] std::optional<time_point> unavailable_until(std::string_view service,
                                                               time_point now) const;
-    /// Returns the availability zones of the backend servers of `service` if all of them
-    /// are evacuated; nothing otherwise.
-    [[nodiscard]] std::vector<std::string>
-    evacuated_zones_of(std::string_view service) const;
+    /// Returns why no backend server may serve a request, however long it waits.
+    [[nodiscard]] service_exclusion exclusion_of(const placement_request& request) const;
     /// Returns the evacuated availability zone that a placement uses, if any.
     [[nodiscard]] std::optional<std::string>
     evacuated_zone_in(const placement& place) const;
@@ -155,6 +169,13 @@
     using candidate_cache =
         std::map<std::string_view, std::vector<placement_candidate>, std::less<>>;
 
+    /// Returns whether a request may be served in an availability zone.
+    [[nodiscard]] bool allows_zone(const placement_request& request,
+                                   std::string_view zone) const;
+    /// `zones` are those of the service's backend servers.
+    [[nodiscard]] service_exclusion
+    find_exclusion(const placement_request& request,
+                   std::span<const std::string> zones) const;
     [[nodiscard]] std::vector<waiting_work> waiting_kinds() const;
     /// Marks the slots that other waiting gateways may take first as taken. Returns
     /// whether this gateway may take anything.
@@ -173,7 +194,7 @@
     [[nodiscard]] std::optional<time_point> outage_end(std::string_view service,
                                                        time_point now) const;
     /// Wakes the requests that wait for another end of a backoff than before, or whose
-    /// service has lost its last backend server outside the evacuated zones.
+    /// service has lost the last backend server that may serve them.
     void update_recheck_times(time_point now);
     [[nodiscard]] double min_served_cost() const;
 
@@ -184,6 +205,7 @@
     bool has_cells_ = false;
     std::string zone_;
     std::uint64_t self_; ///< Hash of this gateway's name.
+    zone_regions regions_;
     /// The gateways that last waited to place long prompts, by service.
     std::map<std::string, rival_set, std::less<>> long_rivals_;
     /// Requests placed at backend servers that the peers do not know of yet.
--- a/source/process/admission/dispatcher_exclusion.cpp
+++ b/source/process/admission/dispatcher_exclusion.cpp
@@ -9,10 +9,43 @@
 
 namespace pistachiopost {
 
-std::vector<std::string> dispatcher::evacuated_zones_of(std::string_view service) const
+service_exclusion dispatcher::exclusion_of(const placement_request& request) const
 {
     const std::lock_guard lock(mutex_);
-    return registry_.evacuated_zones_of(service);
+    if (!request.regions && registry_.evacuated_zones().empty())
+    {
+        return {};
+    }
+    return find_exclusion(request, registry_.zones_of(request.service));
+}
+
+/// A zone without a known region is in none that a request names.
+bool dispatcher::allows_zone(const placement_request& request,
+                             std::string_view zone) const
+{
+    const auto it = regions_.find(zone);
+    return !request.regions ||
+           (it != regions_.end() && contains_id(*request.regions, it->second));
+}
+
+service_exclusion dispatcher::find_exclusion(const placement_request& request,
+                                             std::span<const std::string> zones) const
+{
+    service_exclusion result;
+    for (const auto& it : zones)
+    {
+        if (!allows_zone(request, it))
+        {
+            continue;
+        }
+        if (!registry_.is_evacuated(it))
+        {
+            return {};
+        }
+        result.evacuated_zones.push_back(it);
+    }
+    result.outside_regions = !zones.empty() && result.evacuated_zones.empty();
+    return result;
 }
 
 std::optional<std::string> dispatcher::evacuated_zone_in(const placement& place) const
@@ -40,7 +73,7 @@
     struct service_state
     {
         std::optional<time_point> backoff_end;
-        bool evacuated = false;
+        std::vector<std::string> zones;
     };
     std::map<std::string_view, service_state> services;
     for (auto* it : queue_)
@@ -51,12 +84,13 @@
         if (is_new)
         {
             state = {registry_.next_backoff_end(service, now),
-                     !registry_.evacuated_zones_of(service).empty()};
+                     registry_.zones_of(service)};
         }
-        if (it->recheck_at_ != state.backoff_end || it->evacuated_ != state.evacuated)
+        const bool excluded{find_exclusion(*it->request_, state.zones)};
+        if (it->recheck_at_ != state.backoff_end || it->excluded_ != excluded)
         {
             it->recheck_at_ = state.backoff_end;
-            it->evacuated_ = state.evacuated;
+            it->excluded_ = excluded;
             signal_event_fd(it->wake_);
         }
     }
--- a/source/process/admission/placement_wait.cpp
+++ b/source/process/admission/placement_wait.cpp
@@ -33,15 +33,27 @@
     return std::min(limit, run.call.until);
 }
 
-/// Counts and logs a request that is refused because of evacuations.
-void record_evacuated(gateway_state& state, forward_context& run,
-                      std::string_view service, const std::vector<std::string>& zones)
+/// Counts and logs a request that no backend server may serve.
+void record_exclusion(gateway_state& state, forward_context& run,
+                      const placement_request& wanted, const service_exclusion& cause)
 {
-    const auto names = fmt::format("{}", fmt::join(zones, ", "));
-    run.last_error = "all backend servers are in evacuated zones: " + names;
-    state.metrics.increment("evacuation_refusals");
-    log_event(log_level::info, "no backend server outside the evacuated zones",
-              {{"request", run.call.request.id}, {"service", service}, {"zones", names}});
+    const auto regions = wanted.regions
+                             ? fmt::format("{}", fmt::join(*wanted.regions, ", "))
+                             : std::string("all");
+    const auto zones = fmt::format("{}", fmt::join(cause.evacuated_zones, ", "));
+    run.out_of_time = false;
+    run.last_error = cause.outside_regions
+                         ? "no backend server in the allowed regions: " + regions
+                         : "all backend servers are in evacuated zones: " + zones;
+    state.metrics.increment(cause.outside_regions ? "region_refusals"
+                                                  : "evacuation_refusals");
+    log_event(log_level::info,
+              cause.outside_regions ? "no backend server in the allowed regions"
+                                    : "no backend server outside the evacuated zones",
+              {{"request", run.call.request.id},
+               {"service", wanted.service},
+               {"regions", regions},
+               {"zones", zones}});
 }
 
 std::optional<placement> wait_for_placement(gateway_state& state, forward_context& run,
@@ -58,9 +70,8 @@
     {
         const auto back = state.dispatch.unavailable_until(wanted.service, steady::now());
         const bool closed = state.queue_closed;
-        const auto evacuated = state.dispatch.evacuated_zones_of(wanted.service);
-        const bool in_vain =
-            closed || !evacuated.empty() || (back && *back >= wait_deadline);
+        const auto exclusion = state.dispatch.exclusion_of(wanted);
+        const bool in_vain = closed || exclusion || (back && *back >= wait_deadline);
         const auto until = std::min(wait_deadline, state.dispatch.recheck_time(queued));
         const auto woken = in_vain ? wake_cause::timeout
                                    : wait_readable(queued.wake().get(), caller, until);
@@ -72,10 +83,9 @@
                 continue;
             }
             auto place = state.dispatch.dequeue(queued, now);
-            if (!place && !closed && !evacuated.empty())
+            if (!place && !closed && exclusion)
             {
-                run.out_of_time = false;
-                record_evacuated(state, run, wanted.service, evacuated);
+                record_exclusion(state, run, wanted, exclusion);
             }
             else if (!place)
             {
--- a/source/process/forward_service.cpp
+++ b/source/process/forward_service.cpp
@@ -89,6 +89,10 @@
     wanted.engine = known != nullptr && known->engine && run.call.matched_route.runs_model
                         ? &*known->engine
                         : nullptr;
+    if (run.allowed_regions)
+    {
+        wanted.regions = *run.allowed_regions;
+    }
     wanted.tightest_gap = run.table.shortest_event_gap();
     if (run.call.request.prompt)
     {
--- a/source/process/forward_service.hpp
+++ b/source/process/forward_service.hpp
@@ -112,6 +112,7 @@
         run.priority = customer != nullptr && customer->priority
                            ? *customer->priority
                            : matched_route->priority;
+        run.allowed_regions = allowed_regions(*matched_route, customer);
         run.suspects =
             suspects_of(request_fingerprint(request.path, run.customer, received.body),
                         request.shared_parts);
--- a/source/process/gateway_state.hpp
+++ b/source/process/gateway_state.hpp
@@ -22,7 +22,8 @@
 struct gateway_state
 {
     explicit gateway_state(const gateway_settings& it)
-        : settings(it), dispatch(it.self.zone, it.self.vm), budgets(it.repeats),
+        : settings(it), dispatch(it.self.zone, it.self.vm, it.zone_regions),
+          budgets(it.repeats),
           directory({it.self.vm, it.peers, it.self.zone, it.cores}, started_at),
           answer_bytes(it.memory_bytes / answer_memory_divisor), stop_fd(open_event_fd()),
           max_connections(it.max_connections), stop_grace(it.stop_grace)
--- a/source/process/membership/backend_registry.cpp
+++ b/source/process/membership/backend_registry.cpp
@@ -263,25 +263,15 @@
     return true;
 }
 
-std::vector<std::string>
-backend_registry::evacuated_zones_of(std::string_view service) const
+std::vector<std::string> backend_registry::zones_of(std::string_view service) const
 {
-    if (evacuated_zones_.empty())
-    {
-        return {};
-    }
     std::set<std::string_view> zones;
     for (const auto& [id, it] : backends_)
     {
-        if (it.record.service != service)
-        {
-            continue;
-        }
-        if (!is_evacuated(it.record.zone))
+        if (it.record.service == service)
         {
-            return {};
+            zones.insert(it.record.zone);
         }
-        zones.insert(it.record.zone);
     }
     return {zones.begin(), zones.end()};
 }
--- a/source/process/membership/backend_registry.hpp
+++ b/source/process/membership/backend_registry.hpp
@@ -79,10 +79,8 @@
     {
         return evacuated_zones_;
     }
-    /// Returns the availability zones of a service's backend servers if all of them are
-    /// evacuated; nothing otherwise, or if the service has no backend servers.
-    [[nodiscard]] std::vector<std::string>
-    evacuated_zones_of(std::string_view service) const;
+    /// Returns the availability zones of all backend servers of a service.
+    [[nodiscard]] std::vector<std::string> zones_of(std::string_view service) const;
     /// Records that the backend servers of an availability zone may be cold from `now`
     /// on, since they received no requests for some time.
     void assume_cold(std::string_view zone, time_point now);
--- a/source/process/placement/placement.hpp
+++ b/source/process/placement/placement.hpp
@@ -33,6 +33,8 @@
     bool accept_fewer_engines = false; ///< Set after a long time in the queue.
     bool requires_available = false; ///< No placement if all backend servers are ejected.
     std::span<const std::string> excluded; ///< Backend servers where this request failed.
+    /// Regions of backend servers and helpers; all if there is no value.
+    std::optional<std::span<const std::string>> regions;
     std::span<const std::string> full; ///< Backend servers that refused a reservation.
 };
 
--- a/source/process/settings.hpp
+++ b/source/process/settings.hpp
@@ -11,6 +11,8 @@
 #include "request/retry_policy.hpp"
 
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <string>
 #include <variant>
 
@@ -91,6 +93,7 @@
     std::uint64_t max_event_bytes = 1U << 20U;  ///< Of one event of a stream.
     std::uint32_t max_connections = 1'300; ///< A third of the descriptors of an entry VM.
     repeat_limits repeats;
+    std::map<std::string, std::string, std::less<>> zone_regions; ///< Region by zone.
     milliseconds stop_grace{8'000}; ///< From the stop signal to SIGKILL by the platform.
 };
 
--- a/source/process/settings_document.cpp
+++ b/source/process/settings_document.cpp
@@ -168,6 +168,11 @@
     it.metrics = read_endpoint_string(root, "metrics");
     it.peers = read_endpoint_string(root, "peers");
     it.store = read_endpoint_string(root, "store");
+    auto zones = root.object("zones", false);
+    for (const auto& zone : zones.field_names())
+    {
+        it.zone_regions[zone] = zones.string(zone);
+    }
     auto in = root.object("limits", false);
     it.max_connections = static_cast<std::uint32_t>(
         in.integer("max_connections", {1, 20'000}, it.max_connections));
--- a/source/process/settings_reloader.cpp
+++ b/source/process/settings_reloader.cpp
@@ -49,6 +49,7 @@
     note_fixed_setting(running.self.vm, read.self.vm, "/vm", it);
     note_fixed_setting(running.self.zone, read.self.zone, "/zone", it);
     note_fixed_setting(running.self.region, read.self.region, "/region", it);
+    note_fixed_setting(running.zone_regions, read.zone_regions, "/zones", it);
     note_fixed_setting(running.listen, read.listen, "/listen", it);
     note_fixed_setting(running.readiness, read.readiness, "/readiness", it);
     note_fixed_setting(running.metrics, read.metrics, "/metrics", it);
--- a/source/request/forward_context.hpp
+++ b/source/request/forward_context.hpp
@@ -22,6 +22,8 @@
     std::string customer;
     time_point arrived;
     std::uint32_t priority = 0;
+    /// Regions of backend servers and helpers; all if there is no value.
+    std::optional<std::vector<std::string>> allowed_regions{};
     std::vector<suspect> suspects{}; ///< What may crash backend servers.
     attempt_history history{};
     std::vector<std::string> failed_backends{}; ///< Excluded from further attempts.
--- a/source/version/route_table.cpp
+++ b/source/version/route_table.cpp
@@ -1,6 +1,7 @@
 #include "version/route_table.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace pistachiopost {
@@ -64,6 +65,28 @@
     return it == services_.end() ? nullptr : &it->second;
 }
 
+std::optional<std::vector<std::string>> allowed_regions(const route& matched_route,
+                                                        const gateway_customer* customer)
+{
+    const auto& by_route = matched_route.allowed_regions;
+    if (customer == nullptr || customer->allowed_regions.empty())
+    {
+        return by_route.empty() ? std::nullopt : std::optional(by_route);
+    }
+    const auto& by_customer = customer->allowed_regions;
+    if (by_route.empty())
+    {
+        return by_customer;
+    }
+    std::vector<std::string> common;
+    std::copy_if(by_route.begin(), by_route.end(), std::back_inserter(common),
+                 [&](const auto& it) {
+                     return std::find(by_customer.begin(), by_customer.end(), it) !=
+                            by_customer.end();
+                 });
+    return common;
+}
+
 route_table_builder& route_table_builder::version(std::uint64_t it)
 {
     table_.version_ = it;
--- a/source/version/route_table.hpp
+++ b/source/version/route_table.hpp
@@ -46,6 +46,7 @@
     std::uint32_t priority = 0; ///< 0 is the most urgent.
     std::uint32_t max_attempts = 1;
     std::vector<service_share> services;
+    std::vector<std::string> allowed_regions; ///< Of backend servers; all if empty.
 
     /// Returns how long a caller waits for the complete answer, or for each event of a
     /// stream, before it abandons the request.
@@ -101,9 +102,15 @@
 {
     std::string name;
     std::vector<std::string> keys;
-    std::optional<std::uint32_t> priority; ///< Overrides the priority of the route.
+    std::optional<std::uint32_t> priority;    ///< Overrides the priority of the route.
+    std::vector<std::string> allowed_regions; ///< Of backend servers; all if empty.
 };
 
+/// Returns the regions that both a route and a customer (null if there is none) allow;
+/// nothing if all are allowed. The list is empty if they have none in common.
+std::optional<std::vector<std::string>> allowed_regions(const route& matched_route,
+                                                        const gateway_customer* customer);
+
 /// One configuration version. Immutable.
 class route_table
 {
--- a/tests/process/evacuation_test.cpp
+++ b/tests/process/evacuation_test.cpp
@@ -60,6 +60,11 @@
 
     std::optional<placement> place() { return dispatch.try_place("ann", request, start); }
 
+    [[nodiscard]] std::vector<std::string> evacuated_zones() const
+    {
+        return dispatch.exclusion_of(request).evacuated_zones;
+    }
+
     queued_request make_request()
     {
         return {"ann", request, start, start + seconds{1}, start + seconds{60}};
@@ -122,7 +127,7 @@
     evacuation_fixture it;
     cr_assert(it.evacuate("c"));
     cr_assert_eq(it.eligible().size(), 2U);
-    cr_assert(it.dispatch.evacuated_zones_of("plain").empty());
+    cr_assert(it.evacuated_zones().empty());
 }
 
 Test(evacuation, two_zones_are_evacuated_independently)
@@ -140,10 +145,11 @@
 {
     evacuation_fixture it;
     it.evacuate("a");
-    cr_assert(it.dispatch.evacuated_zones_of("plain").empty());
+    cr_assert(it.evacuated_zones().empty());
     it.evacuate("b");
-    cr_assert_eq(it.dispatch.evacuated_zones_of("plain"), (ids{"a", "b"}));
-    cr_assert(it.dispatch.evacuated_zones_of("unlisted").empty(),
+    cr_assert_eq(it.evacuated_zones(), (ids{"a", "b"}));
+    it.request.service = "unlisted";
+    cr_assert(it.evacuated_zones().empty(),
               "a service without backend servers waits for one");
 }
 
@@ -154,7 +160,7 @@
     evacuation_fixture it;
     it.add("i-b", "b", true);
     it.evacuate("a");
-    cr_assert(it.dispatch.evacuated_zones_of("plain").empty());
+    cr_assert(it.evacuated_zones().empty());
 }
 
 Test(evacuation, returned_zone_is_assumed_cold_from_its_return)
--- a/tests/process/settings_test.cpp
+++ b/tests/process/settings_test.cpp
@@ -98,6 +98,20 @@
     }
 }
 
+Test(settings, regions_of_zones_are_parsed_and_an_invalid_one_is_reported)
+{
+    const std::string text = R"({"role":"gateway","vm":"v","zone":"z","region":"r",
+        "listen":"127.0.0.1:7100","readiness":"127.0.0.1:7101","metrics":"127.0.0.1:7102",
+        "peers":"127.0.0.1:7103","store":"127.0.0.1:7104",
+        "zones":{"z":"north","y":"south"}})";
+    const auto read = std::get<gateway_settings>(parse_settings(text));
+    cr_assert_eq(read.zone_regions.size(), 2U);
+    cr_assert_eq(read.zone_regions.at("y"), "south");
+    auto invalid = text;
+    invalid.replace(invalid.find("\"south\""), 7, "7");
+    cr_assert(has(diagnostics_of(invalid), "/zones/y", "must be a non-empty string"));
+}
+
 namespace {
 
 /// Settings file of a gateway, rewritten by the tests.
