Soak evacuates zones and checks what reaches their backend servers

The stubs record each run and each new memory reservation. None may reach a backend server of a zone later than 5 s after the store took the row. The store and its links stay up, since a gateway without contact to the store is excused. The other series draw the same random numbers as before.

--- a/tests/soak/backend_stub.cpp
+++ b/tests/soak/backend_stub.cpp
@@ -27,6 +27,18 @@
     return std::move(runs_);
 }
 
+void run_record::add_reservation(reservation it)
+{
+    const std::lock_guard lock(mutex_);
+    reservations_.push_back(std::move(it));
+}
+
+std::vector<run_record::reservation> run_record::take_reservations()
+{
+    const std::lock_guard lock(mutex_);
+    return std::move(reservations_);
+}
+
 std::string event_text(std::string_view id, int n)
 {
     return fmt::format("id: {}\ndata: {}-{}\n\n", n, id, n);
@@ -114,7 +126,12 @@
         if (order.at("op") == "reserve")
         {
             const milliseconds hold{order.at("hold-ms").get<milliseconds::rep>()};
-            reservations_[name] = steady::now() + hold;
+            const auto now = steady::now();
+            if (!reservations_.contains(name))
+            {
+                record_.add_reservation({name, id_, now});
+            }
+            reservations_[name] = now + hold;
         }
         else
         {
--- a/tests/soak/backend_stub.hpp
+++ b/tests/soak/backend_stub.hpp
@@ -28,13 +28,24 @@
         bool key_forwarded = false; ///< The caller's API key was forwarded.
     };
 
+    /// A memory reservation that was made, not one that was renewed.
+    struct reservation
+    {
+        std::string name;
+        std::string backend;
+        time_point made_at;
+    };
+
     void add(const std::string& request, run it);
+    void add_reservation(reservation it);
     /// Returns the runs by request.
     [[nodiscard]] std::map<std::string, std::vector<run>> take();
+    [[nodiscard]] std::vector<reservation> take_reservations();
 
 private:
     std::mutex mutex_;
     std::map<std::string, std::vector<run>> runs_;
+    std::vector<reservation> reservations_;
 };
 
 /// Behaviour of a backend server.
--- a/tests/soak/checks.cpp
+++ b/tests/soak/checks.cpp
@@ -14,6 +14,8 @@
 constexpr milliseconds drain_limit{2'000};
 // After a disturbance a gateway's view of the store may be stale for this long.
 constexpr milliseconds stable_window{3'000};
+// The same for the backend servers of an evacuated zone.
+constexpr milliseconds evacuation_limit{5'000};
 // Backend servers that one request may reach, as configured in the routes.
 constexpr std::size_t max_attempts = 3;
 
@@ -263,4 +265,39 @@
     return std::move(it.violations);
 }
 
+std::vector<std::string>
+find_evacuation_violations(const runs_by_request& runs,
+                           const std::vector<run_record::reservation>& reservations,
+                           const disturbances& disturbed)
+{
+    std::vector<std::string> violations;
+    const auto check = [&](std::string_view what, std::string_view id,
+                           const std::string& backend, time_point at) {
+        for (const auto& one : disturbed)
+        {
+            const auto& zone = one.evacuated;
+            if (std::find(zone.begin(), zone.end(), backend) != zone.end() &&
+                at > one.from + evacuation_limit &&
+                at < one.restored_at.value_or(time_point::max()))
+            {
+                violations.push_back(
+                    fmt::format("{} {} reached {} {} ms after the {}", what, id, backend,
+                                ceil_milliseconds(at - one.from).count(), one.name));
+            }
+        }
+    };
+    for (const auto& [id, list] : runs)
+    {
+        for (const auto& it : list)
+        {
+            check("request", id, it.backend, it.started);
+        }
+    }
+    for (const auto& it : reservations)
+    {
+        check("reservation", it.name, it.backend, it.made_at);
+    }
+    return violations;
+}
+
 } // namespace pistachiopost::soak
--- a/tests/soak/checks.hpp
+++ b/tests/soak/checks.hpp
@@ -20,4 +20,11 @@
                                          const runs_by_request& runs,
                                          const disturbances& disturbed);
 
+/// Returns the requests and the new memory reservations that reached backend servers of
+/// zones which had been evacuated for longer than the limit.
+std::vector<std::string>
+find_evacuation_violations(const runs_by_request& runs,
+                           const std::vector<run_record::reservation>& reservations,
+                           const disturbances& disturbed);
+
 } // namespace pistachiopost::soak
--- a/tests/soak/deployment.cpp
+++ b/tests/soak/deployment.cpp
@@ -20,6 +20,11 @@
 constexpr int metrics_port = 7'102;
 constexpr int peers_port = 7'103;
 
+std::string zone_name(std::size_t number)
+{
+    return fmt::format("z{}", number % zone_count);
+}
+
 json route(std::string_view name, std::string_view kind, std::string_view service)
 {
     const bool stream = kind == "stream";
@@ -90,7 +95,7 @@
     };
     const json settings{{"role", "gateway"},
                         {"vm", fmt::format("front-{}", gateway)},
-                        {"zone", fmt::format("z{}", gateway % 3)},
+                        {"zone", zone_name(gateway)},
                         {"region", "r"},
                         {"listen", at(callers_port)},
                         {"readiness", at(readiness_port)},
@@ -209,7 +214,7 @@
 {
     const auto& it = backends[which];
     const json row{{"service", it.service},
-                   {"zone", fmt::format("z{}", which % 3)},
+                   {"zone", zone_name(which)},
                    {"slots", 16},
                    {"state", leaving ? "draining" : "ready"},
                    {"address", to_string(it.link->local_endpoint())},
@@ -222,6 +227,22 @@
     store.remove("servers", backends[which].server->id());
 }
 
+std::vector<std::string> deployment::evacuate(std::size_t number)
+{
+    store.write("op", "evacuate/" + zone_name(number), "{}");
+    std::vector<std::string> ids;
+    for (std::size_t i = number % zone_count; i < backends.size(); i += zone_count)
+    {
+        ids.push_back(backends[i].server->id());
+    }
+    return ids;
+}
+
+void deployment::restore(std::size_t number)
+{
+    store.remove("op", "evacuate/" + zone_name(number));
+}
+
 std::vector<endpoint> deployment::caller_endpoints() const
 {
     std::vector<endpoint> all;
--- a/tests/soak/deployment.hpp
+++ b/tests/soak/deployment.hpp
@@ -16,6 +16,9 @@
 
 namespace pistachiopost::soak {
 
+/// Zones over which gateways and backend servers are spread.
+inline constexpr std::size_t zone_count = 3;
+
 /// Number of processes and stubs.
 struct deployment_size
 {
@@ -71,6 +74,11 @@
     /// Removes the store row of a backend server.
     void remove_row(std::size_t which);
 
+    /// Evacuates zone `number`; returns the ids of its backend servers.
+    std::vector<std::string> evacuate(std::size_t number);
+    /// Returns zone `number` to service.
+    void restore(std::size_t number);
+
     [[nodiscard]] std::vector<endpoint> caller_endpoints() const;
 
     run_record record;
--- a/tests/soak/disturbance.hpp
+++ b/tests/soak/disturbance.hpp
@@ -20,6 +20,9 @@
     bool planned = false;               ///< Must not cause the loss of a call.
     std::string backend;                ///< Backend server whose store row it changes.
     bool draining = false;              ///< That server must get no new work meanwhile.
+    /// Backend servers of an evacuated zone, which must get no new work meanwhile.
+    std::vector<std::string> evacuated{};
+    std::optional<time_point> restored_at{}; ///< When the zone's return began.
 };
 
 /// The disturbances of one run.
--- a/tests/soak/fault_injector.cpp
+++ b/tests/soak/fault_injector.cpp
@@ -7,6 +7,7 @@
 
 #include <array>
 #include <csignal>
+#include <span>
 #include <thread>
 
 namespace pistachiopost::soak {
@@ -20,6 +21,10 @@
 constexpr milliseconds settling_time{3'000};
 // Exceeds the 2 s within which a draining backend server must stop getting new work.
 constexpr milliseconds draining_time{3'500};
+// Evacuations last longer than the 5 s after which they must be in force. Two zones
+// overlap for a part of that.
+constexpr milliseconds evacuation_time{8'000};
+constexpr milliseconds evacuation_interval{6'000};
 // A configuration must be in force within this time.
 constexpr milliseconds configuration_limit{2'000};
 
@@ -31,6 +36,11 @@
     while (steady::now() < until)
     {
         inject_random();
+        if (evacuations_ && steady::now() >= next_evacuation_at_)
+        {
+            next_evacuation_at_ = steady::now() + evacuation_interval;
+            evacuate_zone();
+        }
         std::this_thread::sleep_for(milliseconds{50 + random_() % 900});
         end_expired(steady::now());
         check_configuration(steady::now());
@@ -68,12 +78,23 @@
         &fault_injector::change_configuration, &fault_injector::change_settings,
         &fault_injector::drain_backend,        &fault_injector::expire_backend_row,
         &fault_injector::disturb_backend,      &fault_injector::disturb_backend_link};
-    const auto number = random_();
-    const auto chosen =
-        lost_answers_
-            ? actions_beside_lost_answers[number % actions_beside_lost_answers.size()]
-            : actions[number % actions.size()];
-    (this->*chosen)();
+    // Those that leave every gateway in contact with the store.
+    static constexpr std::array<action, 10> actions_beside_evacuations{
+        &fault_injector::stop_gateway,         &fault_injector::kill_gateway,
+        &fault_injector::pause_gateway,        &fault_injector::change_settings,
+        &fault_injector::compact_store,        &fault_injector::disturb_backend,
+        &fault_injector::disturb_backend_link, &fault_injector::drain_backend,
+        &fault_injector::expire_backend_row,   &fault_injector::change_configuration};
+    std::span<const action> choice = actions;
+    if (lost_answers_)
+    {
+        choice = actions_beside_lost_answers;
+    }
+    else if (evacuations_)
+    {
+        choice = actions_beside_evacuations;
+    }
+    (this->*choice[random_() % choice.size()])();
 }
 
 void fault_injector::begin(std::string name, milliseconds duration,
@@ -162,8 +183,7 @@
     const auto which = random_() % (modes.size() + 1);
     if (which == modes.size())
     {
-        begin("store compacts its history", milliseconds{0}, [] {});
-        target_.store.compact_history();
+        compact_store();
         return;
     }
     begin(fmt::format("store mode {}", which + 1), pick_duration(),
@@ -171,6 +191,12 @@
     target_.store.set_mode(modes[which]);
 }
 
+void fault_injector::compact_store()
+{
+    begin("store compacts its history", milliseconds{0}, [] {});
+    target_.store.compact_history();
+}
+
 void fault_injector::disturb_store_link()
 {
     constexpr std::array modes{proxy_mode::reset, proxy_mode::cut_answers,
@@ -284,6 +310,25 @@
     change_configuration();
 }
 
+void fault_injector::evacuate_zone()
+{
+    const auto zone = random_() % zone_count;
+    const auto index = injected_.size();
+    const auto name = fmt::format("evacuation of zone {}", zone);
+    if (std::any_of(active_.begin(), active_.end(),
+                    [&](const auto& it) { return injected_[it.index].name == name; }))
+    {
+        return;
+    }
+    auto backends = target_.evacuate(zone);
+    begin(name, evacuation_time, [this, zone, index] {
+        injected_[index].restored_at = steady::now();
+        target_.restore(zone);
+    });
+    injected_.back().planned = true;
+    injected_.back().evacuated = std::move(backends);
+}
+
 /// Asks each calm gateway for the route that only the newest configuration has.
 void fault_injector::check_configuration(time_point now)
 {
--- a/tests/soak/fault_injector.hpp
+++ b/tests/soak/fault_injector.hpp
@@ -15,9 +15,12 @@
 {
 public:
     /// With `lost_answers`, answers of the store to some gateways are lost behind live
-    /// connections, and the store has no outage.
-    fault_injector(deployment& target, std::uint64_t seed, bool lost_answers)
-        : target_(target), random_(seed), lost_answers_(lost_answers)
+    /// connections, and the store has no outage. With `evacuations`, zones are evacuated
+    /// in turn, and gateways keep their contact with the store.
+    fault_injector(deployment& target, std::uint64_t seed, bool lost_answers,
+                   bool evacuations)
+        : target_(target), random_(seed), lost_answers_(lost_answers),
+          evacuations_(evacuations)
     {
     }
 
@@ -57,6 +60,8 @@
     void expire_backend_row();
     void change_configuration();
     void lose_store_answers();
+    void evacuate_zone();
+    void compact_store();
     void check_configuration(time_point now);
     [[nodiscard]] bool was_disturbed(std::size_t gateway, time_point from,
                                      time_point to) const;
@@ -68,6 +73,8 @@
     deployment& target_;
     std::mt19937_64 random_;
     bool lost_answers_;
+    bool evacuations_;
+    time_point next_evacuation_at_;
     time_point next_change_at_; ///< After lost answers, which do not recur before.
     bool change_is_due_ = false;
     time_point configured_at_;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -22,6 +22,8 @@
 DEFINE_bool(
     lost_answers, false,
     "lose answers of the store behind live connections, without outages of the store");
+DEFINE_bool(evacuations, false,
+            "evacuate zones in turn, without outages of the store or its links");
 DEFINE_uint32(length_ms, 8'000, "time during which disturbances are started");
 
 namespace pistachiopost::soak {
@@ -103,12 +105,16 @@
         }
     }
     caller_group callers(target.caller_endpoints(), FLAGS_seed, FLAGS_callers);
-    fault_injector faults(target, FLAGS_seed, FLAGS_lost_answers);
+    fault_injector faults(target, FLAGS_seed, FLAGS_lost_answers, FLAGS_evacuations);
     faults.run(milliseconds{FLAGS_length_ms});
     const auto calls = callers.finish();
     const auto runs = target.record.take();
     auto call_violations = find_violations(calls, runs, faults.injected());
     violations.insert(violations.end(), call_violations.begin(), call_violations.end());
+    const auto evacuation_violations = find_evacuation_violations(
+        runs, target.record.take_reservations(), faults.injected());
+    violations.insert(violations.end(), evacuation_violations.begin(),
+                      evacuation_violations.end());
     violations.insert(violations.end(), faults.violations().begin(),
                       faults.violations().end());
     check_recovery(target, violations);
