Cold backend servers get requests within the allowance only

Rows state cold-remaining-ms, answers carry Cold-Ms, and services state cold-start-s and cold-per-s; without the latter nothing changes. The registry counts the time on the steady clock, from the first reading of a row; a new incarnation replaces it, and assume_cold() starts it for the servers of a zone that returns to service. The dispatcher withholds a cold server for which the gateway has no slot now, spends slots for all parts of a placement, and lets the first waiting request of a service serve the queue when a slot returns. Placement prefers servers that are not cold.

A gateway keeps its row in the gateways' table over a restart, and with it its place in the order of rows. The settings have limits.cold_overage and limits.cold_slack, which the template passes on where the platform states them.

Tests: the suites cold_admission, cold_backends, settings_template and gateway_cold, and the decoding in configuration_codec and platform_message_codec.

--- a/source/connection/attempt_result.hpp
+++ b/source/connection/attempt_result.hpp
@@ -39,6 +39,7 @@
     bool oversized = false;  ///< The answer exceeded a limit on its bytes.
     bool broken_off = false; ///< The backend server closed or reset the connection.
     bool backoff = false;    ///< The backend server may be tried again after some time.
+    bool expired = false;    ///< It was not sent, because too much time had passed.
     std::optional<time_point> first_event;
     milliseconds longest_pause{0}; ///< Longest gap between events.
 
--- a/source/connection/forward_attempt.hpp
+++ b/source/connection/forward_attempt.hpp
@@ -60,6 +60,12 @@
         {
             return finish(attempt_end::not_run, it.what());
         }
+        if (steady::now() > terms.send_by) // e.g. after a pause of the process
+        {
+            result_.expired = true;
+            return finish(attempt_end::not_run,
+                          "not sent within the allowance for a cold backend server");
+        }
         try
         {
             stream->send_until_response(
--- a/source/process/admission/dispatcher.cpp
+++ b/source/process/admission/dispatcher.cpp
@@ -243,7 +243,7 @@
     queue_snapshot it;
     it.waiting = queue_.size();
     it.gateways = loads_.live_gateways(now);
-    for (const auto& [backend, healthy] : registry_.eligible(service, now))
+    for (const auto& [backend, healthy, cold] : registry_.eligible(service, now))
     {
         const auto load = loads_.total_load(backend->id, now);
         it.least_backlog_ms = it.backends == 0
@@ -252,6 +252,7 @@
         ++it.backends;
         it.with_slot += load.requests < backend->slots ? 1 : 0;
         it.healthy += healthy ? 1 : 0;
+        it.cold += cold > 0 ? 1 : 0;
     }
     return it;
 }
@@ -266,8 +267,8 @@
         registry_.remove_expired(now);
         for (const auto& it : registry_.eligible(service, now))
         {
-            entry->second.push_back(
-                {it.backend, loads_.total_load(it.backend->id, now), it.healthy});
+            entry->second.push_back({it.backend, loads_.total_load(it.backend->id, now),
+                                     it.healthy, cold_.state_of(it, now)});
         }
     }
     return entry->second;
@@ -359,8 +360,9 @@
     });
 }
 
-void dispatcher::charge(std::string_view customer, const placement& place, time_point now)
+void dispatcher::charge(std::string_view customer, placement& place, time_point now)
 {
+    cold_.charge(registry_, place, now);
     ++load_generation_;
     ++unreported_placements_[place.main.backend.id];
     loads_.add(place.main.backend.id, place.main.work, now);
@@ -427,17 +429,13 @@
 
 void dispatcher::update_recheck_times(time_point now)
 {
-    std::map<std::string_view, std::optional<time_point>> ends;
+    recheck_times times(registry_, cold_, now);
     for (auto* it : queue_)
     {
-        const auto [entry, is_new] = ends.try_emplace(it->request_->service);
-        if (is_new)
+        const auto next = times.next(it->request_->service);
+        if (it->recheck_at_ != next)
         {
-            entry->second = registry_.next_backoff_end(it->request_->service, now);
-        }
-        if (it->recheck_at_ != entry->second)
-        {
-            it->recheck_at_ = entry->second;
+            it->recheck_at_ = next;
             signal_event_fd(it->wake_);
         }
     }
--- a/source/process/admission/dispatcher.hpp
+++ b/source/process/admission/dispatcher.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "connection/unique_fd.hpp"
+#include "process/admission/cold_admission.hpp"
 #include "process/admission/customer_costs.hpp"
 #include "process/membership/backend_registry.hpp"
 #include "process/placement/load_tracker.hpp"
@@ -17,6 +18,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace pistachiopost {
 
@@ -43,7 +45,8 @@
     time_point target_deadline_; ///< Latency target; later answers are late.
     time_point urgent_from_;     ///< From then on the caller may give up at any time.
     std::optional<placement> place_;
-    /// When a backend server of its service that asked for backoff returns.
+    /// When a backend server of its service that asked for backoff returns, or allowance
+    /// for a cold one.
     std::optional<time_point> recheck_at_;
     unique_fd wake_;
 };
@@ -55,6 +58,7 @@
     std::size_t backends = 0;  ///< Eligible backend servers.
     std::size_t healthy = 0;   ///< Eligible and healthy.
     std::size_t with_slot = 0; ///< Eligible and with a free slot.
+    std::size_t cold = 0;      ///< Eligible and cold.
     std::size_t gateways = 0;  ///< Live gateways, including this one.
     double least_backlog_ms = 0;
 };
@@ -63,9 +67,11 @@
 class dispatcher
 {
 public:
-    /// `zone` and `name` are those of this gateway.
-    explicit dispatcher(std::string zone, std::string_view name = {})
-        : zone_(std::move(zone)), self_(contention_hash(name))
+    /// `zone` and `name` are those of this gateway, `started` is the start of its
+    /// process.
+    explicit dispatcher(std::string zone, std::string_view name = {},
+                        time_point started = {})
+        : zone_(std::move(zone)), self_(contention_hash(name)), cold_(name, started)
     {
     }
 
@@ -114,6 +120,27 @@
         change(registry_);
         serve_queue(now);
     }
+    /// Modifies the allowance for cold backend servers under the lock, then serves the
+    /// queue.
+    template <typename Change>
+    void update_cold_allowance(time_point now, const Change& change)
+    {
+        const std::lock_guard lock(mutex_);
+        change(cold_.allowance());
+        serve_queue(now);
+    }
+    /// Returns the backend servers that have turned cold or warm since the last call.
+    std::vector<cold_change> take_cold_changes(time_point now)
+    {
+        const std::lock_guard lock(mutex_);
+        return registry_.take_cold_changes(now);
+    }
+    /// Returns the state of cold backend servers.
+    [[nodiscard]] cold_counts count_cold(time_point now) const
+    {
+        const std::lock_guard lock(mutex_);
+        return cold_.counts(registry_, now);
+    }
     /// Sets whether the fleet is divided into cells.
     void set_cells(bool has_cells);
     /// Applies the load report of a peer.
@@ -158,7 +185,7 @@
     std::optional<placement> find_placement(const placement_request& request,
                                             steady::duration waited,
                                             candidate_cache& cache, time_point now);
-    void charge(std::string_view customer, const placement& place, time_point now);
+    void charge(std::string_view customer, placement& place, time_point now);
     void serve_queue(time_point now);
     [[nodiscard]] std::optional<time_point> outage_end(std::string_view service,
                                                        time_point now) const;
@@ -181,6 +208,7 @@
     std::set<std::string, std::less<>> unreported_releases_;
     backend_registry registry_;
     load_tracker loads_;
+    cold_admission cold_;
     std::list<queued_request*> queue_;
     customer_costs served_cost_;
 };
--- a/source/process/backend_notice.cpp
+++ b/source/process/backend_notice.cpp
@@ -24,6 +24,10 @@
         is_leaving = notice.leaving && it.record_leaving(backend);
         is_out = notice.backoff.count() > 0 &&
                  it.record_backoff(backend, now + notice.backoff + jitter);
+        if (notice.cold.count() > 0)
+        {
+            it.record_cold(backend, now + notice.cold, now);
+        }
     });
     if (is_out)
     {
--- a/source/process/backend_notice.hpp
+++ b/source/process/backend_notice.hpp
@@ -17,8 +17,12 @@
 {
     bool leaving = false;    ///< It shuts down and must get no new requests.
     milliseconds backoff{0}; ///< For which it must get no requests of this gateway.
+    milliseconds cold{0};    ///< For which it tolerates few requests of all gateways.
 
-    [[nodiscard]] bool empty() const { return !leaving && backoff.count() == 0; }
+    [[nodiscard]] bool empty() const
+    {
+        return !leaving && backoff.count() == 0 && cold.count() == 0;
+    }
 };
 
 /// Called with each announcement as soon as the head of the answer has arrived.
--- a/source/process/forward_log.cpp
+++ b/source/process/forward_log.cpp
@@ -58,6 +58,7 @@
                {"backends", to_count(queue.backends)},
                {"trusted", to_count(queue.healthy)},
                {"with_slot", to_count(queue.with_slot)},
+               {"cold", to_count(queue.cold)},
                {"gateways", to_count(queue.gateways)},
                {"least_backlog_ms", queue.least_backlog_ms}});
 }
--- a/source/process/forward_service.cpp
+++ b/source/process/forward_service.cpp
@@ -104,6 +104,7 @@
     terms.backend = place.main.backend.id;
     terms.customer = run.customer;
     terms.priority = std::min(run.priority, max_urgency_rank);
+    terms.send_by = place.send_by;
     terms.last_event_id =
         run.call.events.last_id().value_or(run.call.request.last_event_id.value_or(""));
     for (const auto& it : place.helpers)
@@ -154,6 +155,10 @@
                             time_point now)
 {
     const auto& id = place.main.backend.id;
+    if (result.expired)
+    {
+        return; // this gateway was too slow
+    }
     if (!result.blamed.empty())
     {
         // The main engine is healthy and was blocked by this helper.
--- a/source/process/forward_service.hpp
+++ b/source/process/forward_service.hpp
@@ -186,9 +186,10 @@
             }
             const bool repeat =
                 record_result(run, held->get(), result) &&
-                (successor || (may_retry(run.call.matched_route, run.history,
-                                         steady::now(), run.call.until) &&
-                               try_spend_repeat(run, service)));
+                (successor || (result.expired && steady::now() < run.call.until) ||
+                 (may_retry(run.call.matched_route, run.history, steady::now(),
+                            run.call.until) &&
+                  try_spend_repeat(run, service)));
             if (!repeat && result.end == attempt_end::answered)
             {
                 return send_answer(run, result);
@@ -301,7 +302,7 @@
         {
             record_crash(state_, run, place.main.backend, result, now);
         }
-        if (result.blamed.empty() && !result.backoff)
+        if (result.blamed.empty() && !result.backoff && !result.expired)
         {
             run.failed_backends.push_back(id);
         }
--- a/source/process/gateway_metrics.hpp
+++ b/source/process/gateway_metrics.hpp
@@ -16,11 +16,14 @@
 struct gateway_gauges
 {
     std::string_view vm;
-    double time_s = 0;                ///< Unix time.
-    std::uint64_t version = 0;        ///< Of the configuration in force.
-    std::size_t waiting = 0;          ///< Requests waiting for a placement.
-    std::size_t connections = 0;      ///< Of callers.
-    std::size_t blocked_suspects = 0; ///< Whose requests are refused.
+    double time_s = 0;                 ///< Unix time.
+    std::uint64_t version = 0;         ///< Of the configuration in force.
+    std::size_t waiting = 0;           ///< Requests waiting for a placement.
+    std::size_t connections = 0;       ///< Of callers.
+    std::size_t blocked_suspects = 0;  ///< Whose requests are refused.
+    std::size_t cold_backends = 0;     ///< Backend servers that are cold.
+    std::uint64_t cold_placements = 0; ///< Parts of attempts placed at cold ones.
+    std::uint64_t cold_withheld = 0;   ///< Times that one was not offered to a request.
 };
 
 /// The metrics of a gateway. Thread-safe; bounded in size.
--- a/source/process/gateway_process.hpp
+++ b/source/process/gateway_process.hpp
@@ -9,6 +9,8 @@
 #include "connection/relay_client.hpp"
 #include "connection/relay_server.hpp"
 #include "connection/status_server.hpp"
+#include "process/cold_log.hpp"
+#include "process/membership/row_order.hpp"
 #include "process/platform_followers.hpp"
 #include "process/relayed_store.hpp"
 #include "process/settings_reloader.hpp"
@@ -17,6 +19,8 @@
 
 #include <chrono>
 #include <memory>
+#include <string>
+#include <vector>
 
 namespace pistachiopost {
 
@@ -100,17 +104,23 @@
 
 /// Publishes this gateway, then reads which others there are. Of two gateways that start
 /// at the same time at least the second reads the row of the first, and announces itself
-/// to it; so the table need not be watched.
+/// to it; so the table need not be watched. A row that is there already keeps its place
+/// in the order of rows, by which the allowance for cold backend servers is divided.
 template <typename Store>
-void join_fleet(Store store, gateway_directory& directory, stop_flag& stop)
+void join_fleet(Store store, gateway_state& state, stop_flag& stop)
 {
-    const auto& self = directory.self();
+    const auto& self = state.directory.self();
+    const auto value = encode_gateway_record(self);
     retry_store_call("publish gateway", stop, [&] {
-        store.write_row(gateways_table, self.name, encode_gateway_record(self));
-    });
-    retry_store_call("read gateways", stop, [&] {
+        auto published = store.read_table(gateways_table);
+        const auto* own = find_row(published.rows, self.name);
+        if (own == nullptr || own->value != value)
+        {
+            store.write_row(gateways_table, self.name, value);
+            published = store.read_table(gateways_table);
+        }
         std::vector<gateway_record> gateways;
-        for (const auto& it : store.read_table(gateways_table).rows)
+        for (const auto& it : published.rows)
         {
             try
             {
@@ -122,9 +132,18 @@
                           {{"gateway", it.key}, {"fault", ex.what()}});
             }
         }
-        directory.add_published(gateways, steady::now());
+        const auto now = steady::now();
+        state.directory.add_published(gateways, now);
+        const auto preceding = find_preceding_rows(published.rows, self.name);
+        if (preceding)
+        {
+            state.dispatch.update_cold_allowance(
+                now, [&](cold_allowance& it) { it.set_predecessors(*preceding); });
+        }
         log_event(log_level::info, "gateways read",
-                  {{"count", static_cast<std::uint64_t>(gateways.size())}});
+                  {{"count", static_cast<std::uint64_t>(gateways.size())},
+                   {"preceding",
+                    preceding ? std::to_string(preceding->size()) : "own row missing"}});
     });
 }
 
@@ -209,13 +228,14 @@
                      backends_batch_delay);
     });
     task follow_gateways([&] {
-        join_fleet(store(settings.store), directory, stop);
+        join_fleet(store(settings.store), state, stop);
         do
         {
             state.dispatch.set_cells(directory.has_cells());
             const auto now = steady::now();
             state.budgets.set_gateway_count(directory.size(), now);
             state.budgets.set_live_gateways(directory.live_in_cell(now), now);
+            log_cold_changes(state, now);
         } while (!stop.wait_for(fleet_size_interval));
     });
     task serve_relayed([&] {
@@ -239,12 +259,14 @@
         serve_status(metrics, end_fd.get(), [&state](const received_request&) {
             const std::chrono::duration<double> unix_time =
                 std::chrono::system_clock::now().time_since_epoch();
+            const auto cold = state.dispatch.count_cold(steady::now());
             return status_response{
                 200, "text/plain; version=0.0.4",
                 state.metrics.text({state.settings.self.vm, unix_time.count(),
                                     state.routes.version(), state.dispatch.waiting(),
                                     state.connections,
-                                    state.crashes.blocked_count(steady::now())})};
+                                    state.crashes.blocked_count(steady::now()), cold.cold,
+                                    cold.placements, cold.withheld})};
         });
     });
     task serve_callers([&] { accept_callers<codec>(state, std::move(callers)); });
--- a/source/process/gateway_state.hpp
+++ b/source/process/gateway_state.hpp
@@ -22,11 +22,14 @@
 struct gateway_state
 {
     explicit gateway_state(const gateway_settings& it)
-        : settings(it), dispatch(it.self.zone, it.self.vm), budgets(it.repeats),
+        : settings(it), dispatch(it.self.zone, it.self.vm, started_at),
+          budgets(it.repeats),
           directory({it.self.vm, it.peers, it.self.zone, it.cores}, started_at),
           answer_bytes(it.memory_bytes / answer_memory_divisor), stop_fd(open_event_fd()),
           max_connections(it.max_connections), stop_grace(it.stop_grace)
     {
+        dispatch.update_cold_allowance(
+            started_at, [&](cold_allowance& cold) { cold.set_bound(it.cold); });
     }
 
     /// Applies the settings that may change at run time.
@@ -35,6 +38,8 @@
         max_connections = it.max_connections;
         stop_grace = it.stop_grace;
         budgets.set_limits(it.repeats);
+        dispatch.update_cold_allowance(
+            steady::now(), [&](cold_allowance& cold) { cold.set_bound(it.cold); });
         set_min_log_level(it.self.min_log_level);
     }
 
--- a/source/process/membership/backend_record.hpp
+++ b/source/process/membership/backend_record.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "connection/unique_fd.hpp"
+#include "request/time_types.hpp"
 
 #include <cstdint>
 #include <string>
@@ -19,6 +20,9 @@
     std::uint32_t slots = 1;        ///< Maximum concurrent requests.
     bool leaving = false;           ///< Accepts no new requests.
     std::int64_t start_time_ms = 0; ///< Of this incarnation, Unix time; 0 if unknown.
+    /// Time from the moment the row was read for which it still tolerates few requests.
+    milliseconds cold_remaining{0};
+    std::uint64_t row_version = 0; ///< Of the row, 0 if unknown.
 
     bool operator==(const backend_record&) const = default;
 };
--- a/source/process/membership/backend_registry.cpp
+++ b/source/process/membership/backend_registry.cpp
@@ -76,6 +76,14 @@
         it.ejected_until = now;
         it.announced_leaving = false;
         it.backoff_until = now;
+        it.cold_until = now;
+    }
+    const bool is_known_row = it.record.start_time_ms == record.start_time_ms &&
+                              it.record.row_version == record.row_version &&
+                              record.row_version != 0;
+    if (record.cold_remaining.count() > 0 && !is_known_row)
+    {
+        extend_cold(it, now + record.cold_remaining);
     }
     it.record = record;
     it.rank = XXH3_64bits(record.id.data(), record.id.size());
@@ -259,7 +267,8 @@
             continue;
         }
         auto& list = it.ejected_until <= now ? available : ejected;
-        list.push_back({it.rank, {&it.record, it.consecutive_failures == 0}});
+        list.push_back(
+            {it.rank, {&it.record, it.consecutive_failures == 0, cold_rate(it, now)}});
     }
     return interleave_zones(available.empty() ? std::move(ejected)
                                               : std::move(available));
--- a/source/process/membership/backend_registry.hpp
+++ b/source/process/membership/backend_registry.hpp
@@ -14,11 +14,35 @@
 
 namespace pistachiopost {
 
+/// Cold start of a service's backend servers.
+struct cold_service
+{
+    milliseconds duration{0}; ///< For which a server is cold after its start.
+    double per_second = 0;    ///< Requests that it tolerates meanwhile.
+};
+
+/// A backend server that is cold.
+struct cold_backend
+{
+    const backend_record* backend = nullptr;
+    time_point until;
+    double per_second = 0; ///< Requests that it tolerates meanwhile.
+};
+
+/// A backend server that has turned cold or warm.
+struct cold_change
+{
+    std::string backend;
+    std::string service;
+    milliseconds remaining{0}; ///< 0 if it is warm now.
+};
+
 /// A backend server that requests may be sent to.
 struct eligible_backend
 {
     const backend_record* backend = nullptr;
-    bool healthy = true; ///< Has responded successfully since its last failure.
+    bool healthy = true;        ///< Has responded successfully since its last failure.
+    double cold_per_second = 0; ///< Requests that it tolerates while cold; 0 if warm.
 };
 
 /// The registry of one gateway. Not thread-safe: the dispatcher serializes access.
@@ -61,6 +85,14 @@
     /// eligible before, unless its next incarnation starts. An earlier time than one
     /// known has no effect. Returns whether it had.
     bool record_backoff(const backend_record& backend, time_point until);
+    /// Sets the services whose backend servers have a cold start.
+    void set_cold_services(std::map<std::string, cold_service, std::less<>> services);
+    /// Records that a backend server stated that it is cold until `until`. An earlier
+    /// time than one known has no effect. Returns whether it was not known as cold.
+    bool record_cold(const backend_record& backend, time_point until, time_point now);
+    /// Counts all backend servers of an availability zone whose services have a cold
+    /// start as cold from `now`.
+    void assume_cold(std::string_view zone, time_point now);
     /// Records a successful response and resets the failure counts.
     void record_success(std::string_view id);
 
@@ -73,6 +105,14 @@
     /// eligible again; nothing if there is none.
     [[nodiscard]] std::optional<time_point> next_backoff_end(std::string_view service,
                                                              time_point now) const;
+    /// Returns the backend server `id` as a cold one; nothing if it is not cold.
+    [[nodiscard]] std::optional<cold_backend> find_cold(std::string_view id,
+                                                        time_point now) const;
+    /// Returns the cold backend servers of a service, or of all if `service` is empty.
+    [[nodiscard]] std::vector<cold_backend> cold_backends(std::string_view service,
+                                                          time_point now) const;
+    /// Returns the backend servers that have turned cold or warm since the last call.
+    std::vector<cold_change> take_cold_changes(time_point now);
     /// Returns the backend server at `address`, or null if there is none.
     [[nodiscard]] const backend_record* find_by_address(std::string_view address) const;
     /// Returns the backend server `id`, or null if there is none.
@@ -92,12 +132,20 @@
         time_point ejected_until;
         bool announced_leaving = false;
         time_point backoff_until;
+        time_point cold_until;
+        bool reported_cold = false; ///< By take_cold_changes().
     };
 
+    /// Returns the rate that a backend server tolerates while it is cold, 0 if it is
+    /// warm.
+    [[nodiscard]] double cold_rate(const tracked_backend& it, time_point now) const;
+    void extend_cold(tracked_backend& it, time_point until);
     /// Returns the entry of this incarnation, or null if there is none.
     tracked_backend* find_incarnation(const backend_record& backend);
 
     std::map<std::string, tracked_backend, std::less<>> backends_;
+    std::map<std::string, cold_service, std::less<>> cold_services_;
+    time_point last_cold_end_; ///< From then on no backend server is cold.
     std::optional<time_point> source_down_since_;
     std::optional<time_point> source_recovered_at_;
 };
--- a/source/process/placement/candidate_choice.hpp
+++ b/source/process/placement/candidate_choice.hpp
@@ -11,10 +11,11 @@
 namespace pistachiopost {
 
 /// Returns whether a backend server has a free request slot. An unhealthy one is probed
-/// with one request at a time.
+/// with one request at a time. One that is withheld has none, but remains in its pool.
 inline bool has_free_slot(const placement_candidate& it)
 {
-    return it.load.requests < (it.healthy ? it.backend->slots : 1);
+    return it.start != cold_state::withheld &&
+           it.load.requests < (it.healthy ? it.backend->slots : 1);
 }
 
 /// Returns the candidate with the lowest cost among those that satisfy `fits`; null if
--- a/source/process/placement/placement.cpp
+++ b/source/process/placement/placement.cpp
@@ -22,6 +22,9 @@
 // Penalty on the fill level of a server in another availability zone: a tenth of its
 // slots outweighs the additional network latency.
 constexpr double cross_zone_fill_penalty = 0.1;
+// Penalty on the fill level of a cold server: it gets a request only if the others have
+// half of their slots more in use.
+constexpr double cold_fill_penalty = 0.5;
 // Servers whose fill levels differ by less are equal.
 constexpr double equal_fill_tolerance = 0.01;
 
@@ -33,7 +36,8 @@
         candidates, has_free_slot,
         [&](const placement_candidate& one) {
             const auto fill = static_cast<double>(one.load.requests) / one.backend->slots;
-            return fill + (one.backend->zone == zone ? 0 : cross_zone_fill_penalty);
+            return fill + (one.backend->zone == zone ? 0 : cross_zone_fill_penalty) +
+                   (one.start == cold_state::warm ? 0 : cold_fill_penalty);
         },
         equal_fill_tolerance, request.spread);
     if (it == nullptr)
--- a/source/process/placement/placement.hpp
+++ b/source/process/placement/placement.hpp
@@ -51,6 +51,16 @@
     std::vector<placement_part> helpers; ///< Prefill or hold memory for the prompt.
     double first_event_ms = 0;           ///< Expected time to the first event.
     std::size_t long_pool = 0; ///< Size of the pool for long prompts at that time.
+    /// A request that uses a cold backend server must not be sent later.
+    time_point send_by = time_point::max();
+};
+
+/// Whether a backend server has just started, and may get a request all the same.
+enum class cold_state
+{
+    warm,
+    cold,    ///< Slow, but this gateway may send it a request.
+    withheld ///< It gets no request of this gateway now.
 };
 
 /// An eligible backend server with its current load.
@@ -59,6 +69,7 @@
     const backend_record* backend = nullptr;
     backend_load load;
     bool healthy = true; ///< Has responded successfully since its last failure.
+    cold_state start = cold_state::warm;
 };
 
 /// Returns whether `list` contains `name`.
--- a/source/process/placement/prompt_placement.cpp
+++ b/source/process/placement/prompt_placement.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 #include <vector>
 
 namespace pistachiopost {
@@ -32,6 +33,9 @@
 // Cost of using another availability zone, in milliseconds: two round trips and the price
 // of the traffic.
 constexpr double cross_zone_cost_ms = 10;
+// Cost of a cold engine, in milliseconds: it gets a prompt only if the others have a
+// backlog of two thirds of the largest one more.
+constexpr double cold_cost_ms = 80;
 // Cost of a full engine over an empty one, in milliseconds: a slot more weighs as much as
 // a fifth of a short prefill.
 constexpr double full_engine_cost_ms = 50;
@@ -69,7 +73,8 @@
                    std::string_view zone)
 {
     const double zone_cost_ms = it.backend->zone == zone ? 0 : cross_zone_cost_ms;
-    return it.load.prefill_ms + pass_ms_with(request, it) + zone_cost_ms;
+    return it.load.prefill_ms + pass_ms_with(request, it) + zone_cost_ms +
+           (it.start == cold_state::warm ? 0 : cold_cost_ms);
 }
 
 /// Returns how much each gateway's placement is affected by those that others make at the
@@ -114,8 +119,9 @@
     const auto can_share = [&](const placement_candidate& it) {
         const bool decodes_only_long =
             it.load.requests > 0 && it.load.short_requests == 0;
-        return decodes_only_long && it.load.requests < max_long_decodes &&
-               !is_backlogged(it) && has_room(request, it);
+        return decodes_only_long && it.start == cold_state::warm &&
+               it.load.requests < max_long_decodes && !is_backlogged(it) &&
+               has_room(request, it);
     };
     return min_cost_candidate(pool, can_share, [](const placement_candidate& it) {
         return -static_cast<double>(it.load.memory_tokens);
@@ -163,15 +169,17 @@
     std::size_t possible = 0; ///< Available now or once their prefill backlog is done.
 };
 
+/// Returns the engines other than `main` that are at most as cold as `coldest`.
 helper_candidates find_helpers(const placement_request& request,
                                std::span<const placement_candidate> pool,
-                               const placement_candidate* main)
+                               const placement_candidate* main, cold_state coldest)
 {
     const bool is_long = is_long_prefill(request);
     helper_candidates helpers;
     for (const auto& it : pool)
     {
-        if (&it == main || !it.healthy || (is_long && it.load.requests > 0))
+        if (&it == main || !it.healthy || it.start > coldest ||
+            (is_long && it.load.requests > 0))
         {
             continue;
         }
@@ -224,7 +232,9 @@
         const auto reservable =
             static_cast<double>(free_memory(request, *it)) * reservable_share;
         const auto take = std::min(static_cast<std::uint64_t>(reservable), missing);
-        if (take < min_reservation_tokens || contains_id(request.full, it->backend->id))
+        // A reservation is one more request to the engine.
+        if (it->start != cold_state::warm || take < min_reservation_tokens ||
+            contains_id(request.full, it->backend->id))
         {
             continue;
         }
@@ -291,13 +301,22 @@
     {
         return std::nullopt;
     }
-    const auto helpers = find_helpers(request, pool, main);
+    auto helpers = find_helpers(request, pool, main, cold_state::cold);
     const auto wanted = target_part_count(request, helpers.possible);
-    const auto ready = static_cast<double>(helpers.ready.size() + 1);
-    if (ready < min_part_count(request, wanted, pool.size()))
+    const auto are_enough = [&](const helper_candidates& it) {
+        return static_cast<double>(it.ready.size() + 1) >=
+               min_part_count(request, wanted, pool.size());
+    };
+    if (!are_enough(helpers))
     {
         return std::nullopt;
     }
+    // A cold helper delays the whole prompt, but less than a prefill on few engines.
+    auto warm = find_helpers(request, pool, main, cold_state::warm);
+    if (are_enough(warm))
+    {
+        helpers = std::move(warm);
+    }
     placement result;
     const std::uint32_t is_short = is_long_prefill(request) ? 0 : 1;
     result.main = {*main->backend, {1, is_short, required_memory(request), 0}, 0};
--- a/source/process/platform_followers.hpp
+++ b/source/process/platform_followers.hpp
@@ -7,11 +7,28 @@
 #include "process/stored_row.hpp"
 
 #include <exception>
+#include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace pistachiopost {
 
+/// Returns the services of a configuration whose backend servers have a cold start.
+inline std::map<std::string, cold_service, std::less<>>
+cold_services_of(const route_table& table)
+{
+    std::map<std::string, cold_service, std::less<>> services;
+    for (const auto& [name, it] : table.services())
+    {
+        if (it.cold_start.count() > 0 && it.cold_per_second > 0)
+        {
+            services.emplace(name, cold_service{it.cold_start, it.cold_per_second});
+        }
+    }
+    return services;
+}
+
 /// Follows the operator's table and activates newer configurations.
 template <typename Codec>
 class configuration_follower
@@ -20,13 +37,13 @@
     explicit configuration_follower(gateway_state& state) : state_(state) {}
 
     void on_snapshot(const row_batch& batch, time_point now) { on_changes(batch, now); }
-    void on_changes(const row_batch& batch, time_point)
+    void on_changes(const row_batch& batch, time_point now)
     {
         for (const auto& it : batch.rows)
         {
             if (it.key == Codec::configuration_key && !it.removed)
             {
-                apply(it);
+                apply(it, now);
             }
         }
     }
@@ -34,15 +51,19 @@
     void on_store_available(time_point) {}
 
 private:
-    void apply(const stored_row& row)
+    void apply(const stored_row& row, time_point now)
     {
         try
         {
             auto next = std::make_shared<const route_table>(
                 Codec::decode_configuration(row.value));
             const auto version = next->version();
+            auto cold = cold_services_of(*next);
             if (state_.routes.advance(std::move(next)))
             {
+                state_.dispatch.update_registry(now, [&](backend_registry& it) {
+                    it.set_cold_services(std::move(cold));
+                });
                 log_event(log_level::warn, "configuration in force",
                           {{"version", version}, {"row_version", row.version}});
             }
@@ -120,7 +141,9 @@
             state_.metrics.increment("unreadable_backends");
             log_event(log_level::warn, "invalid entry of a backend server ignored",
                       {{"backend", row.key}, {"fault", fault}});
+            return record;
         }
+        record->row_version = row.version;
         return record;
     }
 
--- a/source/process/settings.hpp
+++ b/source/process/settings.hpp
@@ -6,6 +6,7 @@
 #include "connection/unique_fd.hpp"
 #include "process/dispatch_window.hpp"
 #include "process/logging.hpp"
+#include "process/membership/cold_allowance.hpp"
 #include "process/service_retry_budgets.hpp"
 #include "request/request.hpp"
 #include "request/retry_policy.hpp"
@@ -91,6 +92,7 @@
     std::uint64_t max_event_bytes = 1U << 20U;  ///< Of one event of a stream.
     std::uint32_t max_connections = 1'300; ///< A third of the descriptors of an entry VM.
     repeat_limits repeats;
+    cold_bound cold;                ///< Limit on the requests to a cold backend server.
     milliseconds stop_grace{8'000}; ///< From the stop signal to SIGKILL by the platform.
 };
 
--- a/source/process/settings_document.cpp
+++ b/source/process/settings_document.cpp
@@ -174,6 +174,8 @@
     it.repeats.ratio = in.number("repeat_ratio", share_range, it.repeats.ratio);
     it.repeats.slack = in.number("repeat_slack", {0, 1e6}, it.repeats.slack);
     it.repeats.window = read_milliseconds(in, "repeat_window_ms", it.repeats.window);
+    it.cold.overage = in.number("cold_overage", {0, 1'000}, it.cold.overage);
+    it.cold.slack = in.number("cold_slack", {0, 1e6}, it.cold.slack);
     it.stop_grace = read_milliseconds(in, "stop_grace_ms", it.stop_grace);
     it.cores = in.number("cores", {0, 1'024}, it.cores);
     const auto memory_mb = in.integer("memory_mb", {16, 1'048'576},
--- a/source/request/forward_options.hpp
+++ b/source/request/forward_options.hpp
@@ -27,6 +27,7 @@
     std::string last_event_id;  ///< Last event already received; empty if none.
     std::uint32_t priority = 5; ///< 0 (admitted first) to 9.
     std::vector<prefill_helper> helpers;
+    time_point send_by = time_point::max(); ///< The attempt must not be sent later.
 };
 
 } // namespace pistachiopost
--- a/source/version/route_table.hpp
+++ b/source/version/route_table.hpp
@@ -85,6 +85,8 @@
     std::string health_path;
     std::uint32_t max_connections = 1;
     std::optional<engine_cost_model> engine; ///< Empty for a plain service.
+    milliseconds cold_start{0};              ///< 0 if its servers are never cold.
+    double cold_per_second = 0; ///< Requests that a cold server tolerates; 0 likewise.
 };
 
 /// Limits on the size and the duration of callers' requests.
@@ -115,6 +117,12 @@
     [[nodiscard]] const gateway_customer* find_customer(std::string_view key) const;
     /// Returns the service, or null if there is none.
     [[nodiscard]] const routed_service* find_service(std::string_view name) const;
+    /// Returns all services by name.
+    [[nodiscard]] const std::map<std::string, routed_service, std::less<>>&
+    services() const
+    {
+        return services_;
+    }
     /// Returns whether any customers are defined; if not, no request requires a key.
     [[nodiscard]] bool has_customers() const { return !customers_.empty(); }
     /// Returns the smallest event gap target of all stream routes, or 0 if there is none.
