Soak: all servers of a service turn cold

The requests that a cold server receives are counted at the server, while gateways stop, start, freeze and lose the store.

--- a/tests/soak/backend_stub.cpp
+++ b/tests/soak/backend_stub.cpp
@@ -55,8 +55,10 @@
 
 std::string backend_stub::stamp_fields(const received_request& request) const
 {
-    return fmt::format("Request-Id: {}\r\nResponse-Stamp: {}\r\n",
-                       request.head.value("Request-Id"), id_);
+    const auto cold = ceil_milliseconds(cold_until_.load() - steady::now());
+    return fmt::format(
+        "Request-Id: {}\r\nResponse-Stamp: {}\r\n{}", request.head.value("Request-Id"),
+        id_, cold.count() > 0 ? fmt::format("Cold-Ms: {}\r\n", cold.count()) : "");
 }
 
 bool backend_stub::answer(tcp_stream& stream, const received_request& request)
--- a/tests/soak/backend_stub.hpp
+++ b/tests/soak/backend_stub.hpp
@@ -47,6 +47,15 @@
     full       ///< Answers 503 with Not-Run.
 };
 
+/// Requests that a cold backend server tolerates in one second, and how the configuration
+/// and the settings state that: the rate times the overage, plus the slack.
+inline constexpr std::size_t cold_bound = 5;
+inline constexpr int cold_per_second = 3;
+inline constexpr double cold_overage = 1.5;
+inline constexpr double cold_slack = 0.5;
+/// Time for which a server that turns cold remains so.
+inline constexpr milliseconds cold_time{5'000};
+
 /// Number of events of each stream.
 inline constexpr int stream_events = 12;
 
@@ -64,6 +73,8 @@
     [[nodiscard]] endpoint local_endpoint() const { return server_.local_endpoint(); }
     [[nodiscard]] const std::string& id() const { return id_; }
     void set_mode(backend_mode mode) { mode_ = mode; }
+    /// Sets until when the answers state that the server is cold.
+    void set_cold_until(time_point until) { cold_until_ = until; }
     /// Returns the number of unexpired reservations.
     [[nodiscard]] std::size_t count_reservations();
 
@@ -77,6 +88,7 @@
     run_record& record_;
     std::atomic<backend_mode> mode_ = backend_mode::normal;
     std::atomic<unsigned> served_ = 0;
+    std::atomic<time_point> cold_until_ = time_point();
     std::mutex mutex_;
     std::map<std::string, time_point> reservations_; ///< Expiry time, by name.
     loopback_server server_;
--- a/tests/soak/checks.cpp
+++ b/tests/soak/checks.cpp
@@ -14,6 +14,9 @@
 constexpr milliseconds drain_limit{2'000};
 // After a disturbance a gateway's view of the store may be stale for this long.
 constexpr milliseconds stable_window{3'000};
+// After this time each gateway knows from the store or from an answer that a backend
+// server is cold.
+constexpr milliseconds cold_notice_limit{2'000};
 // Backend servers that one request may reach, as configured in the routes.
 constexpr std::size_t max_attempts = 3;
 
@@ -241,6 +244,38 @@
 
 } // namespace
 
+std::size_t count_cold_requests(const runs_by_request& runs,
+                                const disturbances& disturbed)
+{
+    std::map<std::string_view, std::vector<time_point>> started;
+    for (const auto& [id, list] : runs)
+    {
+        for (const auto& it : list)
+        {
+            started[it.backend].push_back(it.started);
+        }
+    }
+    std::size_t most = 0;
+    for (const auto& cold : disturbed)
+    {
+        if (!cold.cold)
+        {
+            continue;
+        }
+        auto& times = started[cold.backend];
+        std::sort(times.begin(), times.end());
+        const auto begin =
+            std::lower_bound(times.begin(), times.end(), cold.from + cold_notice_limit);
+        const auto end = std::lower_bound(begin, times.end(), cold.from + cold_time);
+        for (auto it = begin; it != end; ++it)
+        {
+            const auto second_over = std::lower_bound(it, end, *it + seconds{1});
+            most = std::max(most, static_cast<std::size_t>(second_over - it));
+        }
+    }
+    return most;
+}
+
 std::vector<std::string> find_violations(const std::vector<call_record>& calls,
                                          const runs_by_request& runs,
                                          const disturbances& disturbed)
@@ -260,6 +295,11 @@
         }
     }
     it.check_draining();
+    if (const auto most = count_cold_requests(runs, disturbed); most > cold_bound)
+    {
+        it.violations.push_back(
+            fmt::format("a cold server got {} requests in one second", most));
+    }
     return std::move(it.violations);
 }
 
--- a/tests/soak/checks.hpp
+++ b/tests/soak/checks.hpp
@@ -15,6 +15,11 @@
 /// Runs at backend servers, by request identifier.
 using runs_by_request = std::map<std::string, std::vector<run_record::run>>;
 
+/// Returns the largest number of requests that a cold backend server received in one
+/// second, once the gateways had time to learn that it is cold.
+std::size_t count_cold_requests(const runs_by_request& runs,
+                                const disturbances& disturbed);
+
 /// Returns the violated guarantees, each with the request that shows it.
 std::vector<std::string> find_violations(const std::vector<call_record>& calls,
                                          const runs_by_request& runs,
--- a/tests/soak/deployment.cpp
+++ b/tests/soak/deployment.cpp
@@ -97,7 +97,10 @@
                         {"metrics", at(metrics_port)},
                         {"peers", at(peers_port)},
                         {"store", to_string(it.store_link->local_endpoint())},
-                        {"limits", {{"max_connections", 500 + settings_changes_}}}};
+                        {"limits",
+                         {{"max_connections", 500 + settings_changes_},
+                          {"cold_overage", cold_overage},
+                          {"cold_slack", cold_slack}}}};
     std::ofstream(it.settings) << settings.dump(2);
 }
 
@@ -194,18 +197,27 @@
         {"slots", 16},     {"kv-capacity", 232'000},    {"stride", 43},
         {"step_ms", 1.02}, {"read_per_s", 2'060'000.0}, {"pairs_per_m", 0.001},
         {"chunk", 2'048}};
+    auto services = json::array({json{{"name", "model"}, {"engine", engine}},
+                                 json{{"name", "plain"}}, json{{"name", "absent"}}});
+    for (auto& it : services)
+    {
+        if (size_.cold_starts)
+        {
+            it["cold-start-s"] = 3;
+            it["cold-per-s"] = cold_per_second;
+        }
+    }
     const json document{
         {"version", version_ * 3},
         {"routes", routes},
-        {"services", json::array({json{{"name", "model"}, {"engine", engine}},
-                                  json{{"name", "plain"}}, json{{"name", "absent"}}})},
+        {"services", services},
         {"tenants",
          json::array({json{{"name", "ann"}, {"api-keys", json::array({"key-a"})}}})}};
     store.write("op", "config", document.dump());
     return fmt::format("/{}/", own_route);
 }
 
-void deployment::put_row(std::size_t which, bool leaving)
+void deployment::put_row(std::size_t which, bool leaving, milliseconds cold)
 {
     const auto& it = backends[which];
     const json row{{"service", it.service},
@@ -213,6 +225,7 @@
                    {"slots", 16},
                    {"state", leaving ? "draining" : "ready"},
                    {"address", to_string(it.link->local_endpoint())},
+                   {"cold-remaining-ms", cold.count()},
                    {"born", 1}};
     store.write("servers", it.server->id(), row.dump());
 }
--- a/tests/soak/deployment.hpp
+++ b/tests/soak/deployment.hpp
@@ -22,6 +22,7 @@
     std::size_t gateways = 3;
     std::size_t engines = 5;
     std::size_t services = 3;
+    bool cold_starts = false; ///< The configuration states cold starts of all services.
 };
 
 /// One gateway process.
@@ -67,7 +68,7 @@
     /// that only this version has. Returns the path prefix of that one.
     std::string configure(std::size_t extra);
     /// Writes the store row of a backend server.
-    void put_row(std::size_t which, bool leaving);
+    void put_row(std::size_t which, bool leaving, milliseconds cold = milliseconds{0});
     /// Removes the store row of a backend server.
     void remove_row(std::size_t which);
 
--- a/tests/soak/disturbance.hpp
+++ b/tests/soak/disturbance.hpp
@@ -20,6 +20,7 @@
     bool planned = false;               ///< Must not cause the loss of a call.
     std::string backend;                ///< Backend server whose store row it changes.
     bool draining = false;              ///< That server must get no new work meanwhile.
+    bool cold = false;                  ///< That server tolerates few requests meanwhile.
 };
 
 /// The disturbances of one run.
--- a/tests/soak/fault_injector.cpp
+++ b/tests/soak/fault_injector.cpp
@@ -7,6 +7,7 @@
 
 #include <array>
 #include <csignal>
+#include <span>
 #include <thread>
 
 namespace pistachiopost::soak {
@@ -68,12 +69,25 @@
         &fault_injector::change_configuration, &fault_injector::change_settings,
         &fault_injector::drain_backend,        &fault_injector::expire_backend_row,
         &fault_injector::disturb_backend,      &fault_injector::disturb_backend_link};
+    // Gateways that stop, start and freeze while they share the bound of a cold server.
+    static constexpr std::array<action, 8> actions_beside_cold_starts{
+        &fault_injector::turn_cold,     &fault_injector::turn_cold,
+        &fault_injector::turn_cold,     &fault_injector::stop_gateway,
+        &fault_injector::kill_gateway,  &fault_injector::pause_gateway,
+        &fault_injector::disturb_store, &fault_injector::disturb_store_link};
     const auto number = random_();
-    const auto chosen =
-        lost_answers_
-            ? actions_beside_lost_answers[number % actions_beside_lost_answers.size()]
-            : actions[number % actions.size()];
-    (this->*chosen)();
+    const auto choose = [&](std::span<const action> from) {
+        (this->*from[number % from.size()])();
+    };
+    switch (mix_)
+    {
+    case fault_mix::all:
+        return choose(actions);
+    case fault_mix::lost_answers:
+        return choose(actions_beside_lost_answers);
+    case fault_mix::cold_starts:
+        return choose(actions_beside_cold_starts);
+    }
 }
 
 void fault_injector::begin(std::string name, milliseconds duration,
@@ -246,6 +260,26 @@
     target_.remove_row(i);
 }
 
+void fault_injector::turn_cold()
+{
+    const auto service = target_.backends[pick_backend()].service;
+    for (std::size_t i = 0; i < target_.backends.size(); ++i)
+    {
+        auto& server = *target_.backends[i].server;
+        if (target_.backends[i].service != service || has_row_change(server.id()))
+        {
+            continue;
+        }
+        begin(fmt::format("{} turns cold", server.id()), cold_time,
+              [this, i] { target_.put_row(i, false); });
+        injected_.back().planned = true;
+        injected_.back().backend = server.id();
+        injected_.back().cold = true;
+        server.set_cold_until(injected_.back().from + cold_time);
+        target_.put_row(i, false, cold_time);
+    }
+}
+
 void fault_injector::change_configuration()
 {
     newest_route_ = target_.configure(random_() % 30);
--- a/tests/soak/fault_injector.hpp
+++ b/tests/soak/fault_injector.hpp
@@ -10,14 +10,20 @@
 
 namespace pistachiopost::soak {
 
+/// The kinds of faults that are injected.
+enum class fault_mix
+{
+    all,
+    lost_answers, ///< The store has no outage, but answers to some gateways are lost.
+    cold_starts   ///< All backend servers of a service turn cold at a time.
+};
+
 /// Injects faults into a deployment. Not thread-safe.
 class fault_injector
 {
 public:
-    /// With `lost_answers`, answers of the store to some gateways are lost behind live
-    /// connections, and the store has no outage.
-    fault_injector(deployment& target, std::uint64_t seed, bool lost_answers)
-        : target_(target), random_(seed), lost_answers_(lost_answers)
+    fault_injector(deployment& target, std::uint64_t seed, fault_mix mix)
+        : target_(target), random_(seed), mix_(mix)
     {
     }
 
@@ -55,6 +61,7 @@
     void disturb_backend_link();
     void drain_backend();
     void expire_backend_row();
+    void turn_cold();
     void change_configuration();
     void lose_store_answers();
     void check_configuration(time_point now);
@@ -67,7 +74,7 @@
 
     deployment& target_;
     std::mt19937_64 random_;
-    bool lost_answers_;
+    fault_mix mix_;
     time_point next_change_at_; ///< After lost answers, which do not recur before.
     bool change_is_due_ = false;
     time_point configured_at_;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -22,6 +22,7 @@
 DEFINE_bool(
     lost_answers, false,
     "lose answers of the store behind live connections, without outages of the store");
+DEFINE_bool(cold_starts, false, "turn the backend servers of a service cold");
 DEFINE_uint32(length_ms, 8'000, "time during which disturbances are started");
 
 namespace pistachiopost::soak {
@@ -89,7 +90,8 @@
 int run()
 {
     deployment target(FLAGS_product, FLAGS_work,
-                      {FLAGS_gateways, FLAGS_engines, FLAGS_services}, FLAGS_seed);
+                      {FLAGS_gateways, FLAGS_engines, FLAGS_services, FLAGS_cold_starts},
+                      FLAGS_seed);
     for (std::size_t i = 0; i < target.gateways.size(); ++i)
     {
         target.start(i);
@@ -103,7 +105,10 @@
         }
     }
     caller_group callers(target.caller_endpoints(), FLAGS_seed, FLAGS_callers);
-    fault_injector faults(target, FLAGS_seed, FLAGS_lost_answers);
+    fault_injector faults(target, FLAGS_seed,
+                          FLAGS_cold_starts    ? fault_mix::cold_starts
+                          : FLAGS_lost_answers ? fault_mix::lost_answers
+                                               : fault_mix::all);
     faults.run(milliseconds{FLAGS_length_ms});
     const auto calls = callers.finish();
     const auto runs = target.record.take();
@@ -124,6 +129,11 @@
         fmt::print(" {};", it.name);
     }
     fmt::print("\n");
+    if (FLAGS_cold_starts)
+    {
+        fmt::print("most requests to a cold server in one second: {} of {}\n",
+                   count_cold_requests(runs, faults.injected()), cold_bound);
+    }
     for (const auto& it : violations)
     {
         fmt::print("  broken: {}\n", it);
