--- a/source/connection/attempt_result.hpp
+++ b/source/connection/attempt_result.hpp
@@ -40,6 +40,7 @@
     bool broken_off = false; ///< The backend server closed or reset the connection.
     bool withdrawn = false;  ///< Not sent, for a reason outside the backend server.
     bool backoff = false;    ///< The backend server may be tried again after some time.
+    bool expired = false;    ///< It was not sent, because too much time had passed.
     std::optional<time_point> first_event;
     milliseconds longest_pause{0}; ///< Longest gap between events.
 
--- a/source/connection/forward_attempt.hpp
+++ b/source/connection/forward_attempt.hpp
@@ -69,6 +69,12 @@
             result_.withdrawn = true;
             return finish(attempt_end::not_run, "the placement was withdrawn");
         }
+        if (steady::now() > terms.send_by) // e.g. after a pause of the process
+        {
+            result_.expired = true;
+            return finish(attempt_end::not_run,
+                          "not sent within the allowance for a cold backend server");
+        }
         try
         {
             stream->send_until_response(
--- a/source/process/admission/dispatcher_exclusion.cpp
+++ b/source/process/admission/dispatcher_exclusion.cpp
@@ -70,31 +70,26 @@
 
 void dispatcher::update_recheck_times(time_point now)
 {
-    struct service_state
-    {
-        std::optional<time_point> backoff_end;
-        std::vector<std::string> zones; ///< Read only if some may be excluded.
-    };
+    recheck_times times(registry_, cold_, now);
     const bool has_evacuations = !registry_.evacuated_zones().empty();
-    std::map<std::string_view, service_state> services;
+    std::map<std::string_view, std::vector<std::string>> zones_by_service;
     for (auto* it : queue_)
     {
-        const auto service = it->request_->service;
-        const auto [entry, is_new] = services.try_emplace(service);
-        auto& state = entry->second;
-        if (is_new)
-        {
-            state.backoff_end = registry_.next_backoff_end(service, now);
-        }
-        const bool may_exclude = has_evacuations || it->request_->regions;
-        if (may_exclude && state.zones.empty())
+        const auto next = times.next(it->request_->service);
+        bool excluded = false;
+        if (has_evacuations || it->request_->regions)
         {
-            state.zones = registry_.zones_of(service);
+            const auto [zones, is_new] =
+                zones_by_service.try_emplace(it->request_->service);
+            if (is_new)
+            {
+                zones->second = registry_.zones_of(it->request_->service);
+            }
+            excluded = bool{find_exclusion(*it->request_, zones->second)};
         }
-        const bool excluded = may_exclude && find_exclusion(*it->request_, state.zones);
-        if (it->recheck_at_ != state.backoff_end || it->excluded_ != excluded)
+        if (it->recheck_at_ != next || it->excluded_ != excluded)
         {
-            it->recheck_at_ = state.backoff_end;
+            it->recheck_at_ = next;
             it->excluded_ = excluded;
             signal_event_fd(it->wake_);
         }
--- a/source/process/gateway_metrics.cpp
+++ b/source/process/gateway_metrics.cpp
@@ -63,9 +63,16 @@
                     "pistachiopost_blocked_suspects {}\n"
                     "# TYPE pistachiopost_evacuated_zones gauge\n"
                     "pistachiopost_evacuated_zones {}\n"
+                    "# TYPE pistachiopost_cold_backends gauge\n"
+                    "pistachiopost_cold_backends {}\n"
+                    "# TYPE pistachiopost_cold_placements_total counter\n"
+                    "pistachiopost_cold_placements_total {}\n"
+                    "# TYPE pistachiopost_cold_withheld_total counter\n"
+                    "pistachiopost_cold_withheld_total {}\n"
                     "# TYPE pistachiopost_requests_total counter\n",
                     gauges.vm, gauges.time_s, gauges.version, gauges.waiting,
-                    gauges.connections, gauges.blocked_suspects, gauges.evacuated_zones);
+                    gauges.connections, gauges.blocked_suspects, gauges.evacuated_zones,
+                    gauges.cold_backends, gauges.cold_placements, gauges.cold_withheld);
     for (const auto& [name, n] : outcomes_)
     {
         out +=
--- a/source/process/membership/backend_registry.cpp
+++ b/source/process/membership/backend_registry.cpp
@@ -76,6 +76,14 @@
         it.ejected_until = now;
         it.announced_leaving = false;
         it.backoff_until = now;
+        it.cold_until = now;
+    }
+    const bool is_known_row = it.record.start_time_ms == record.start_time_ms &&
+                              it.record.row_version == record.row_version &&
+                              record.row_version != 0;
+    if (record.cold_remaining.count() > 0 && !is_known_row)
+    {
+        extend_cold(it, now + record.cold_remaining);
     }
     it.record = record;
     it.rank = XXH3_64bits(record.id.data(), record.id.size());
@@ -276,23 +284,6 @@
     return {zones.begin(), zones.end()};
 }
 
-void backend_registry::assume_cold(std::string_view zone, time_point now)
-{
-    for (auto& [id, it] : backends_)
-    {
-        if (it.record.zone == zone)
-        {
-            it.assumed_cold_at = now;
-        }
-    }
-}
-
-std::optional<time_point> backend_registry::assumed_cold_at(std::string_view id) const
-{
-    const auto it = backends_.find(id);
-    return it == backends_.end() ? std::nullopt : it->second.assumed_cold_at;
-}
-
 std::vector<eligible_backend> backend_registry::eligible(std::string_view service,
                                                          time_point now) const
 {
@@ -306,7 +297,8 @@
             continue;
         }
         auto& list = it.ejected_until <= now ? available : ejected;
-        list.push_back({it.rank, {&it.record, it.consecutive_failures == 0}});
+        list.push_back(
+            {it.rank, {&it.record, it.consecutive_failures == 0, cold_rate(it, now)}});
     }
     return interleave_zones(available.empty() ? std::move(ejected)
                                               : std::move(available));
--- a/source/process/platform_followers.hpp
+++ b/source/process/platform_followers.hpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <exception>
 #include <iterator>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -17,6 +18,21 @@
 
 namespace pistachiopost {
 
+/// Returns the services of a configuration whose backend servers have a cold start.
+inline std::map<std::string, cold_service, std::less<>>
+cold_services_of(const route_table& table)
+{
+    std::map<std::string, cold_service, std::less<>> services;
+    for (const auto& [name, it] : table.services())
+    {
+        if (it.cold_start.count() > 0 && it.cold_per_second > 0)
+        {
+            services.emplace(name, cold_service{it.cold_start, it.cold_per_second});
+        }
+    }
+    return services;
+}
+
 /// Follows the operator's table and evacuates availability zones or returns them to
 /// service.
 template <typename Codec>
@@ -129,36 +145,40 @@
     void on_snapshot(const row_batch& batch, time_point now)
     {
         evacuations_.on_snapshot(batch, now);
-        apply_configuration(batch);
+        apply_configuration(batch, now);
     }
     void on_changes(const row_batch& batch, time_point now)
     {
         evacuations_.on_changes(batch, now);
-        apply_configuration(batch);
+        apply_configuration(batch, now);
     }
     void on_store_unavailable(time_point) {}
     void on_store_available(time_point) {}
 
 private:
-    void apply_configuration(const row_batch& batch)
+    void apply_configuration(const row_batch& batch, time_point now)
     {
         for (const auto& it : batch.rows)
         {
             if (it.key == Codec::configuration_key && !it.removed)
             {
-                apply(it);
+                apply(it, now);
             }
         }
     }
-    void apply(const stored_row& row)
+    void apply(const stored_row& row, time_point now)
     {
         try
         {
             auto next = std::make_shared<const route_table>(
                 Codec::decode_configuration(row.value));
             const auto version = next->version();
+            auto cold = cold_services_of(*next);
             if (state_.routes.advance(std::move(next)))
             {
+                state_.dispatch.update_registry(now, [&](backend_registry& it) {
+                    it.set_cold_services(std::move(cold));
+                });
                 log_event(log_level::warn, "configuration in force",
                           {{"version", version}, {"row_version", row.version}});
             }
@@ -237,7 +257,9 @@
             state_.metrics.increment("unreadable_backends");
             log_event(log_level::warn, "invalid entry of a backend server ignored",
                       {{"backend", row.key}, {"fault", fault}});
+            return record;
         }
+        record->row_version = row.version;
         return record;
     }
 
--- a/tests/process/evacuation_test.cpp
+++ b/tests/process/evacuation_test.cpp
@@ -166,12 +166,17 @@
 Test(evacuation, returned_zone_is_assumed_cold_from_its_return)
 {
     evacuation_fixture it;
+    it.dispatch.update_registry(start, [](auto& registry) {
+        registry.set_cold_services({{"plain", {seconds{3}, 28}}});
+    });
     it.evacuate("a");
     const auto now = start + seconds{30};
     it.restore("a", now);
     it.dispatch.update_registry(now, [&](auto& registry) {
-        cr_assert(registry.assumed_cold_at("i-a") == now);
-        cr_assert_not(registry.assumed_cold_at("i-b").has_value());
+        const auto cold = registry.find_cold("i-a", now);
+        cr_assert(cold.has_value());
+        cr_assert(cold->until == now + seconds{3});
+        cr_assert_not(registry.find_cold("i-b", now).has_value());
     });
 }
 
--- a/tests/process/residency_test.cpp
+++ b/tests/process/residency_test.cpp
@@ -67,7 +67,7 @@
 
     names allowed;
     placement_request request;
-    dispatcher dispatch{"a", "", {{"a", "north"}, {"b", "south"}}};
+    dispatcher dispatch{"a", "", {}, {{"a", "north"}, {"b", "south"}}};
 };
 
 } // namespace
--- a/tests/soak/disturbance.hpp
+++ b/tests/soak/disturbance.hpp
@@ -23,6 +23,7 @@
     /// Backend servers of an evacuated zone, which must get no new work meanwhile.
     std::vector<std::string> evacuated{};
     std::optional<time_point> restored_at{}; ///< When the zone's return began.
+    bool cold = false; ///< That server tolerates few requests meanwhile.
 };
 
 /// The disturbances of one run.
--- a/tests/soak/fault_injector.cpp
+++ b/tests/soak/fault_injector.cpp
@@ -36,7 +36,7 @@
     while (steady::now() < until)
     {
         inject_random();
-        if (evacuations_ && steady::now() >= next_evacuation_at_)
+        if (mix_ == fault_mix::evacuations && steady::now() >= next_evacuation_at_)
         {
             next_evacuation_at_ = steady::now() + evacuation_interval;
             evacuate_zone();
@@ -78,6 +78,12 @@
         &fault_injector::change_configuration, &fault_injector::change_settings,
         &fault_injector::drain_backend,        &fault_injector::expire_backend_row,
         &fault_injector::disturb_backend,      &fault_injector::disturb_backend_link};
+    // Gateways that stop, start and freeze while they share the bound of a cold server.
+    static constexpr std::array<action, 8> actions_beside_cold_starts{
+        &fault_injector::turn_cold,     &fault_injector::turn_cold,
+        &fault_injector::turn_cold,     &fault_injector::stop_gateway,
+        &fault_injector::kill_gateway,  &fault_injector::pause_gateway,
+        &fault_injector::disturb_store, &fault_injector::disturb_store_link};
     // Those that leave every gateway in contact with the store.
     static constexpr std::array<action, 10> actions_beside_evacuations{
         &fault_injector::stop_gateway,         &fault_injector::kill_gateway,
@@ -85,16 +91,21 @@
         &fault_injector::compact_store,        &fault_injector::disturb_backend,
         &fault_injector::disturb_backend_link, &fault_injector::drain_backend,
         &fault_injector::expire_backend_row,   &fault_injector::change_configuration};
-    std::span<const action> choice = actions;
-    if (lost_answers_)
+    const auto number = random_();
+    const auto choose = [&](std::span<const action> from) {
+        (this->*from[number % from.size()])();
+    };
+    switch (mix_)
     {
-        choice = actions_beside_lost_answers;
+    case fault_mix::all:
+        return choose(actions);
+    case fault_mix::lost_answers:
+        return choose(actions_beside_lost_answers);
+    case fault_mix::cold_starts:
+        return choose(actions_beside_cold_starts);
+    case fault_mix::evacuations:
+        return choose(actions_beside_evacuations);
     }
-    else if (evacuations_)
-    {
-        choice = actions_beside_evacuations;
-    }
-    (this->*choice[random_() % choice.size()])();
 }
 
 void fault_injector::begin(std::string name, milliseconds duration,
@@ -272,6 +283,26 @@
     target_.remove_row(i);
 }
 
+void fault_injector::turn_cold()
+{
+    const auto service = target_.backends[pick_backend()].service;
+    for (std::size_t i = 0; i < target_.backends.size(); ++i)
+    {
+        auto& server = *target_.backends[i].server;
+        if (target_.backends[i].service != service || has_row_change(server.id()))
+        {
+            continue;
+        }
+        begin(fmt::format("{} turns cold", server.id()), cold_time,
+              [this, i] { target_.put_row(i, false); });
+        injected_.back().planned = true;
+        injected_.back().backend = server.id();
+        injected_.back().cold = true;
+        server.set_cold_until(injected_.back().from + cold_time);
+        target_.put_row(i, false, cold_time);
+    }
+}
+
 void fault_injector::change_configuration()
 {
     newest_route_ = target_.configure(random_() % 30);
--- a/tests/soak/fault_injector.hpp
+++ b/tests/soak/fault_injector.hpp
@@ -10,17 +10,21 @@
 
 namespace pistachiopost::soak {
 
+/// The kinds of faults that are injected.
+enum class fault_mix
+{
+    all,
+    lost_answers, ///< The store has no outage, but answers to some gateways are lost.
+    cold_starts,  ///< All backend servers of a service turn cold at a time.
+    evacuations   ///< Zones are evacuated in turn; gateways keep the store in contact.
+};
+
 /// Injects faults into a deployment. Not thread-safe.
 class fault_injector
 {
 public:
-    /// With `lost_answers`, answers of the store to some gateways are lost behind live
-    /// connections, and the store has no outage. With `evacuations`, zones are evacuated
-    /// in turn, and gateways keep their contact with the store.
-    fault_injector(deployment& target, std::uint64_t seed, bool lost_answers,
-                   bool evacuations)
-        : target_(target), random_(seed), lost_answers_(lost_answers),
-          evacuations_(evacuations)
+    fault_injector(deployment& target, std::uint64_t seed, fault_mix mix)
+        : target_(target), random_(seed), mix_(mix)
     {
     }
 
@@ -58,6 +62,7 @@
     void disturb_backend_link();
     void drain_backend();
     void expire_backend_row();
+    void turn_cold();
     void change_configuration();
     void lose_store_answers();
     void evacuate_zone();
@@ -72,8 +77,7 @@
 
     deployment& target_;
     std::mt19937_64 random_;
-    bool lost_answers_;
-    bool evacuations_;
+    fault_mix mix_;
     time_point next_evacuation_at_;
     time_point next_change_at_; ///< After lost answers, which do not recur before.
     bool change_is_due_ = false;
