--- a/source/process/membership/cold_allowance.cpp
+++ b/source/process/membership/cold_allowance.cpp
@@ -13,18 +13,29 @@
 /// Slots that go to the first gateways of a subset, chosen for each backend server anew.
 struct slot_group
 {
+    /// `usual_members` is the number of gateways up to which further slots are not used
+    /// for more slots of each.
+    slot_group(std::uint64_t one_in, std::uint32_t slots, std::uint32_t usual_members)
+        : divisor(one_in), slots_per_member(std::max(slots / usual_members, 1U)),
+          members(slots / slots_per_member)
+    {
+    }
+
     std::uint64_t divisor; ///< The subset is one gateway in this many.
-    std::uint32_t slots;
+    std::uint32_t slots_per_member;
+    std::uint32_t members; ///< That own slots.
 };
 
 // Part of the slots that each of the smaller subsets gets. What remains of 47 slots
 // covers a fleet of 31 gateways.
 constexpr std::uint32_t subset_divisor = 6;
-// With 8 slots the first subset is used up in a fleet of about 130 gateways, the second
+constexpr std::uint32_t usual_gateways = 31;
+// With 8 members the first subset is used up in a fleet of about 130 gateways, the second
 // one in a fleet of about 510. Smaller subsets would leave more slots unused, larger ones
 // would leave the last gateways of the largest fleet without any.
 constexpr std::uint64_t large_subset = 16;
 constexpr std::uint64_t small_subset = 64;
+constexpr std::uint32_t usual_subset_members = 8;
 // A rate or a slack that is out of all proportion does not overflow.
 constexpr double max_slots = 1e6;
 // Entries of backend servers that are not cold any more are discarded beyond this number:
@@ -51,9 +62,9 @@
                                std::string_view backend, std::uint32_t bound)
 {
     const auto subset_slots = (bound + 1) / subset_divisor;
-    const std::array groups{slot_group{1, bound - 2 * subset_slots},
-                            slot_group{large_subset, subset_slots},
-                            slot_group{small_subset, subset_slots}};
+    const std::array groups{slot_group(1, bound - 2 * subset_slots, usual_gateways),
+                            slot_group(large_subset, subset_slots, usual_subset_members),
+                            slot_group(small_subset, subset_slots, usual_subset_members)};
     const auto server = hash_of(backend);
     std::uint32_t owned = 0;
     for (const auto& group : groups)
@@ -64,9 +75,9 @@
         };
         if (is_member(self) &&
             std::count_if(predecessors.begin(), predecessors.end(), is_member) <
-                static_cast<std::ptrdiff_t>(group.slots))
+                static_cast<std::ptrdiff_t>(group.members))
         {
-            ++owned;
+            owned += group.slots_per_member;
         }
     }
     return owned;
--- a/tests/process/cold_allowance_test.cpp
+++ b/tests/process/cold_allowance_test.cpp
@@ -60,6 +60,24 @@
     }
 }
 
+// Guards against a large bound of which a usual fleet uses a small part.
+Test(cold_allowance, large_bound_gives_each_gateway_of_a_usual_fleet_more_slots)
+{
+    for (const std::uint32_t slots : {94U, 305U, 3'000U})
+    {
+        std::vector<std::uint64_t> preceding;
+        std::size_t owned = 0;
+        for (std::size_t i = 0; i < 27; ++i)
+        {
+            const auto self = 0x9e3779b97f4a7c15U * (i + 1);
+            owned += owned_cold_slots(self, preceding, "i-1", slots);
+            preceding.push_back(self);
+        }
+        cr_assert_leq(owned, std::size_t{slots});
+        cr_assert_geq(2 * owned, std::size_t{slots});
+    }
+}
+
 // Guards against a gateway that assumes to be alone because it could not read the table.
 Test(cold_allowance, gateway_that_has_not_read_the_table_has_no_allowance)
 {
