--- a/tests/process/cold_admission_test.cpp
+++ b/tests/process/cold_admission_test.cpp
@@ -1,4 +1,5 @@
 #include "process/admission/dispatcher.hpp"
+#include "process/placement/cell_placement.hpp"
 
 #include <criterion/criterion.h>
 
@@ -142,6 +143,29 @@
     cr_assert_eq(it.place_many(5, start)["far"], 5);
 }
 
+// The same in a fleet that is divided into cells, where a request first waits for its
+// cell.
+Test(cold_admission, request_leaves_its_cell_if_the_cell_is_cold)
+{
+    cold_fixture it;
+    it.add("cold", cold_time);
+    it.add("far", milliseconds{0}, start, "other");
+    it.dispatch.set_cells(true);
+    cr_assert_eq(it.place(start), "cold");
+    auto queued = it.make_queued();
+    it.dispatch.enqueue(queued, start);
+    cr_assert_not(it.dispatch.serve(queued, start));
+    load_report_message digest;
+    digest.gateway = "g";
+    digest.zone = "other";
+    digest.sequence = 1;
+    digest.is_digest = true;
+    const auto later = start + cell_patience;
+    it.dispatch.apply_report(digest, later);
+    cr_assert(it.dispatch.serve(queued, later));
+    cr_assert_eq(it.dispatch.dequeue(queued, later)->main.backend.id, "far");
+}
+
 // Guards against a request that sleeps until its timeout although allowance has returned.
 Test(cold_admission, queued_request_is_due_when_allowance_returns)
 {
