--- a/tests/soak/deployment.cpp
+++ b/tests/soak/deployment.cpp
@@ -88,16 +88,18 @@
     const auto at = [&](int port) {
         return fmt::format("{}:{}", it.caller_endpoint.address, port);
     };
-    const json settings{{"role", "gateway"},
-                        {"vm", fmt::format("front-{}", gateway)},
-                        {"zone", fmt::format("z{}", gateway % 3)},
-                        {"region", "r"},
-                        {"listen", at(callers_port)},
-                        {"readiness", at(readiness_port)},
-                        {"metrics", at(metrics_port)},
-                        {"peers", at(peers_port)},
-                        {"store", to_string(it.store_link->local_endpoint())},
-                        {"limits", {{"max_connections", 500 + settings_changes_}}}};
+    const json settings{
+        {"role", "gateway"},
+        {"vm", fmt::format("front-{}", gateway)},
+        {"zone", fmt::format("z{}", gateway % 3)},
+        {"region", "r"},
+        {"listen", at(callers_port)},
+        {"readiness", at(readiness_port)},
+        {"metrics", at(metrics_port)},
+        {"peers", at(peers_port)},
+        {"store", to_string(it.store_link->local_endpoint())},
+        {"limits",
+         {{"max_connections", 500 + settings_changes_}, {"memory_mb", size_.memory_mb}}}};
     std::ofstream(it.settings) << settings.dump(2);
 }
 
--- a/tests/soak/deployment.hpp
+++ b/tests/soak/deployment.hpp
@@ -22,6 +22,7 @@
     std::size_t gateways = 3;
     std::size_t engines = 5;
     std::size_t services = 3;
+    std::uint64_t memory_mb = 256; ///< Of each gateway; the default of the settings.
 };
 
 /// One gateway process.
