Tests of untrusted clients on an entry

Purpose: the same attacks on the other process that untrusted clients reach. The entry runs with 60 connections and bodies of 1 MB, so its memory is bounded by 60 MB and 40 MB for the process. An endless header line is a new attack, for the gateway too.

--- a/tests/abuse/attacks.cpp
+++ b/tests/abuse/attacks.cpp
@@ -26,16 +26,17 @@
 // together fit into the memory of the machine that runs the test.
 constexpr std::size_t endless_bytes = 40U << 20U;
 
-std::string head(std::string_view method, std::string_view path, std::string_view fields)
+std::string head(const attack_target& target, std::string_view method,
+                 std::string_view path, std::string_view fields)
 {
-    return fmt::format("{} /look/{} HTTP/1.1\r\nHost: soak.test\r\nApi-Key: key-a\r\n"
+    return fmt::format("{} {}{} HTTP/1.1\r\nHost: soak.test\r\nApi-Key: key-a\r\n"
                        "Deadline-Ms: 15000\r\n{}\r\n",
-                       method, path, fields);
+                       method, target.path_prefix, path, fields);
 }
 
-std::string chunked_head()
+std::string chunked_head(const attack_target& target)
 {
-    return head("POST", "x", "Transfer-Encoding: chunked\r\n");
+    return head(target, "POST", "x", "Transfer-Encoding: chunked\r\n");
 }
 
 tcp_stream connect(const attack_target& target)
@@ -117,7 +118,7 @@
         part += field;
     }
     repeat(target, [&](tcp_stream& stream) {
-        stream.send(chunked_head() + "1\r\nb\r\n0\r\n", target.until);
+        stream.send(chunked_head(target) + "1\r\nb\r\n0\r\n", target.until);
         send_endless(stream, target, part);
     });
 }
@@ -126,7 +127,7 @@
 {
     const std::string part(large_chunk_bytes, 't');
     repeat(target, [&](tcp_stream& stream) {
-        stream.send(chunked_head() + "1\r\nb\r\n0\r\nX-Trailer: ", target.until);
+        stream.send(chunked_head(target) + "1\r\nb\r\n0\r\nX-Trailer: ", target.until);
         send_endless(stream, target, part);
     });
 }
@@ -135,7 +136,16 @@
 {
     const std::string part(large_chunk_bytes, 'e');
     repeat(target, [&](tcp_stream& stream) {
-        stream.send(chunked_head() + "1;", target.until);
+        stream.send(chunked_head(target) + "1;", target.until);
+        send_endless(stream, target, part);
+    });
+}
+
+void unbounded_header_line(const attack_target& target, std::size_t /*client*/)
+{
+    const std::string part(large_chunk_bytes, 'h');
+    repeat(target, [&](tcp_stream& stream) {
+        stream.send("GET / HTTP/1.1\r\nX-Header: ", target.until);
         send_endless(stream, target, part);
     });
 }
@@ -149,7 +159,7 @@
         part += one;
     }
     repeat(target, [&](tcp_stream& stream) {
-        stream.send(chunked_head(), target.until);
+        stream.send(chunked_head(target), target.until);
         send_endless(stream, target, part);
     });
 }
@@ -157,7 +167,7 @@
 void short_bodies_in_large_chunks(const attack_target& target, std::size_t /*client*/)
 {
     repeat(target, [&](tcp_stream& stream) {
-        stream.send(chunked_head(), target.until);
+        stream.send(chunked_head(target), target.until);
         send_short_body(stream, target, large_chunk_bytes);
         wait_readable(stream.fd(), -1, target.until);
     });
@@ -166,7 +176,7 @@
 void short_bodies_in_one_byte_chunks(const attack_target& target, std::size_t /*client*/)
 {
     repeat(target, [&](tcp_stream& stream) {
-        stream.send(chunked_head(), target.until);
+        stream.send(chunked_head(target), target.until);
         send_short_body(stream, target, 1);
         wait_readable(stream.fd(), -1, target.until);
     });
@@ -177,7 +187,7 @@
     const auto part = fmt::format("{:x}\r\n{}\r\n", large_chunk_bytes,
                                   std::string(large_chunk_bytes, 'b'));
     repeat(target, [&](tcp_stream& stream) {
-        stream.send(chunked_head(), target.until);
+        stream.send(chunked_head(target), target.until);
         send_endless(stream, target, part);
     });
 }
@@ -186,7 +196,8 @@
 {
     const std::string part(large_chunk_bytes, 'b');
     repeat(target, [&](tcp_stream& stream) {
-        stream.send(head("POST", "x", "Content-Length: 1000000000\r\n"), target.until);
+        stream.send(head(target, "POST", "x", "Content-Length: 1000000000\r\n"),
+                    target.until);
         send_endless(stream, target, part);
     });
 }
@@ -195,7 +206,8 @@
 {
     const auto fields = fmt::format("Content-Length: {}\r\n", body_bytes);
     repeat(target, [&](tcp_stream& stream) {
-        stream.send(head("POST", "x", fields) + std::string(body_bytes - 4'000, 'b'),
+        stream.send(head(target, "POST", "x", fields) +
+                        std::string(body_bytes - 4'000, 'b'),
                     target.until);
         while (steady::now() < target.until)
         {
@@ -212,7 +224,7 @@
     repeat(target, [&](tcp_stream& stream) {
         const int small = 4'096;
         setsockopt(stream.fd(), SOL_SOCKET, SO_RCVBUF, &small, sizeof small);
-        stream.send(head("GET", "large", ""), target.until);
+        stream.send(head(target, "GET", "large", ""), target.until);
         open.push_back(std::move(stream));
         if (open.size() > max_unread)
         {
@@ -252,7 +264,7 @@
     const auto fields = fmt::format("Expect: 100-continue\r\nContent-Length: {}\r\n",
                                     over_limit ? 1'000'000'000 : body_bytes);
     repeat(target, [&](tcp_stream& stream) {
-        stream.send(head("POST", "x", fields), target.until);
+        stream.send(head(target, "POST", "x", fields), target.until);
         wait_readable(stream.fd(), -1,
                       std::min(target.until, steady::now() + seconds{1}));
         stream.send(std::string(body_bytes - 1, 'b'), target.until);
@@ -264,8 +276,8 @@
 {
     const std::string part(large_chunk_bytes, 'b');
     repeat(target, [&](tcp_stream& stream) {
-        stream.send(head("GET", "silent", "") +
-                        head("POST", "x", "Content-Length: 4000000\r\n"),
+        stream.send(head(target, "GET", "silent", "") +
+                        head(target, "POST", "x", "Content-Length: 4000000\r\n"),
                     target.until);
         send_endless(stream, target, part);
     });
@@ -275,7 +287,7 @@
 {
     const auto fields = fmt::format("Content-Length: {}\r\n", body_bytes);
     repeat(target, [&](tcp_stream& stream) {
-        stream.send(head("POST", "slow", fields) + std::string(body_bytes, 'b'),
+        stream.send(head(target, "POST", "slow", fields) + std::string(body_bytes, 'b'),
                     target.until);
         wait_readable(stream.fd(), -1, target.until);
     });
@@ -286,7 +298,7 @@
     constexpr std::array<std::string_view, 3> paths{"endless", "endless-head",
                                                     "endless-chunk"};
     repeat(target, [&](tcp_stream& stream) {
-        stream.send(head("GET", paths[client % paths.size()], ""), target.until);
+        stream.send(head(target, "GET", paths[client % paths.size()], ""), target.until);
         wait_readable(stream.fd(), -1, target.until);
     });
 }
@@ -295,6 +307,7 @@
     attack{"unbounded_trailers", 40, unbounded_trailers},
     attack{"unbounded_trailer_line", 40, unbounded_trailer_line},
     attack{"unbounded_chunk_extension", 40, unbounded_chunk_extension},
+    attack{"unbounded_header_line", 40, unbounded_header_line},
     attack{"chunk_extensions", 40, chunk_extensions},
     attack{"short_bodies_in_large_chunks", 60, short_bodies_in_large_chunks},
     attack{"short_bodies_in_one_byte_chunks", 60, short_bodies_in_one_byte_chunks},
--- a/tests/abuse/attacks.hpp
+++ b/tests/abuse/attacks.hpp
@@ -15,7 +15,8 @@
 struct attack_target
 {
     endpoint address;
-    time_point until; ///< Every client has stopped by then.
+    std::string_view path_prefix; ///< Of requests that the process serves.
+    time_point until;             ///< Every client has stopped by then.
 };
 
 /// An attack, run by each client of a crowd on its own task.
