One memory budget for a gateway, and limits on the framing of bodies

Cause: memory was bounded for each request at best. Chunk lines and trailers were buffered without a limit, bodies held at once had no common bound, a body was copied while it was sent, and an answer left its budget before it had been sent.

Change: memory_budget (five eighths of memory_mb) with levels for bodies, small requests and answers; an announced body is charged before it is read and refused with 503 as not run. While memory is short, connections without progress that cost most are closed, never one whose request was forwarded. request_parser bounds chunk lines, trailers and all framing; trailers are no fields of the head. An error response is followed by a bounded read, so that the close does not destroy it. Kernel buffers of sockets are bounded; the allocator returns large buffers at once.

Suites gateway_* and memory_budget pass. The fuzz target has not run yet.

--- a/source/connection/attempt_result.hpp
+++ b/source/connection/attempt_result.hpp
@@ -5,7 +5,7 @@
 #include "connection/caller_response.hpp"
 #include "connection/event_splitter.hpp"
 #include "connection/http_reader.hpp"
-#include "process/byte_budget.hpp"
+#include "process/memory_budget.hpp"
 #include "request/forwarded_request.hpp"
 #include "version/route_table.hpp"
 
@@ -29,6 +29,8 @@
 {
     attempt_end end = attempt_end::unknown;
     answer_kind kind = answer_kind::untrusted;
+    // Declared before the buffers that it counts, so that they are freed first.
+    memory_charge held;      ///< For the bytes of the answer that are held.
     message_head head;       ///< Of an answer that was not streamed.
     std::string body;        ///< Likewise.
     std::string fault;       ///< Reason for the failure, for the log.
@@ -71,9 +73,9 @@
 /// Limits on the bytes of an answer that are held in memory.
 struct answer_limits
 {
-    std::uint64_t body_bytes;  ///< A complete answer to a plain call.
-    std::uint64_t event_bytes; ///< One event of a stream.
-    byte_budget& all_answers;  ///< Held by all requests together.
+    std::uint64_t body_bytes;   ///< A complete answer to a plain call.
+    std::uint64_t event_bytes;  ///< One event of a stream.
+    memory_budget& all_answers; ///< Held by all requests together.
 };
 
 } // namespace pistachiopost
--- a/source/connection/caller_response.cpp
+++ b/source/connection/caller_response.cpp
@@ -39,14 +39,26 @@
     }
 }
 
-void caller_response::send_buffered(const message_head& head, std::string_view body)
+void caller_response::send_buffered(const message_head& head, std::string_view body,
+                                    const progress_handler& on_sent)
 {
+    // The first part goes out with the head; the rest is not copied.
+    constexpr std::size_t part_bytes = 65'536;
     auto out = status_line(head.status);
     add_fields(out, head);
     out += fmt::format("Content-Length: {}\r\n\r\n", body.size());
-    out += body;
+    out += body.substr(0, part_bytes);
     begun_ = true;
-    stream_.send(out, std::max(until_, steady::now() + min_write_timeout));
+    const auto until = std::max(until_, steady::now() + min_write_timeout);
+    stream_.send(out, until);
+    for (auto sent = part_bytes; sent < body.size(); sent += part_bytes)
+    {
+        if (on_sent)
+        {
+            on_sent(part_bytes);
+        }
+        stream_.send(body.substr(sent, part_bytes), until);
+    }
 }
 
 std::string caller_response::stream_head(const message_head& head)
--- a/source/connection/caller_response.hpp
+++ b/source/connection/caller_response.hpp
@@ -5,6 +5,7 @@
 #include "connection/message_head.hpp"
 #include "connection/tcp_stream.hpp"
 
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -23,8 +24,12 @@
     {
     }
 
+    /// Called with the number of bytes after each part of an answer was sent.
+    using progress_handler = std::function<void(std::size_t)>;
+
     /// Sends the complete answer of a backend server unchanged.
-    void send_buffered(const message_head& head, std::string_view body);
+    void send_buffered(const message_head& head, std::string_view body,
+                       const progress_handler& on_sent = {});
     /// Sends complete events as one chunk, preceded by `head` if the response has not
     /// begun.
     void send_events(const message_head& head, std::string_view events);
--- a/source/connection/forward_attempt.hpp
+++ b/source/connection/forward_attempt.hpp
@@ -35,10 +35,10 @@
     forward_attempt(exchange& it, const attempt_timeouts& timeouts,
                     const answer_limits& limits, memory_lease<Codec>& memory,
                     Observer& observer)
-        : exchange_(it), timeouts_(timeouts), limits_(limits),
-          held_bytes_(limits.all_answers), memory_(memory), observer_(observer),
-          resumes_(it.response.begun())
+        : exchange_(it), timeouts_(timeouts), limits_(limits), memory_(memory),
+          observer_(observer), resumes_(it.response.begun())
     {
+        result_.held = memory_charge(limits.all_answers, memory_use::answer);
     }
 
     attempt_result run(const backend_record& backend, const forward_options& terms)
@@ -51,6 +51,7 @@
             stream.emplace(connect_tcp(
                 backend.address,
                 static_cast<int>(std::max(limit.count(), milliseconds::rep{1}))));
+            stream->limit_kernel_buffers();
             if (!memory_.empty())
             {
                 stream->set_peer_timeout(lost_peer_timeout);
@@ -64,9 +65,8 @@
         {
             stream->send_until_response(
                 Codec::encode_forward(exchange_.received.head, terms,
-                                      exchange_.received.body.size()) +
-                    exchange_.received.body,
-                exchange_.until);
+                                      exchange_.received.body.size()),
+                exchange_.received.body, exchange_.until);
             return read_answer(*stream);
         }
         catch (const caller_disconnected& it)
@@ -95,6 +95,10 @@
     static constexpr milliseconds lost_peer_timeout{3'000};
     // Bytes without an event after which a backend server is faulty, not only slow.
     static constexpr std::size_t max_bytes_without_event = 16'384;
+    // A larger answer gets room at once, so that it is not copied while it grows; memory
+    // is not used before bytes arrive.
+    static constexpr std::uint64_t small_answer_bytes = 131'072;
+    static constexpr std::uint64_t max_reserved_bytes = 16U << 20U;
     // Interval of looking for another backend server while one is silent.
     static constexpr milliseconds take_over_interval{250};
     // Interval of looking at the caller's connection while an answer arrives.
@@ -312,6 +316,11 @@
         if (!is_stream())
         {
             result_.body += answer.take_body();
+            if (result_.body.size() > small_answer_bytes &&
+                result_.body.capacity() < limits_.body_bytes)
+            {
+                result_.body.reserve(std::min(limits_.body_bytes, max_reserved_bytes));
+            }
             return false;
         }
         exchange_.events.feed(answer.take_body());
@@ -345,7 +354,8 @@
         const auto body = result_.body.size();
         const auto event = exchange_.events.partial_bytes();
         return body > limits_.body_bytes || event > limits_.event_bytes ||
-               !held_bytes_.resize(body + event);
+               !result_.held.resize(body + event,
+                                    steady::now() + memory_budget::max_wait);
     }
 
     void record_event(time_point now)
@@ -410,7 +420,6 @@
     exchange& exchange_;
     attempt_timeouts timeouts_;
     answer_limits limits_;
-    budgeted_bytes held_bytes_;
     memory_lease<Codec>& memory_;
     Observer& observer_;
     time_point last_event_;
--- a/source/connection/http_reader.cpp
+++ b/source/connection/http_reader.cpp
@@ -1,5 +1,7 @@
 #include "connection/http_reader.hpp"
 
+#include "connection/request_parser.hpp"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -31,41 +33,6 @@
     }
 }
 
-request_outcome to_outcome(const boost::beast::error_code& ec)
-{
-    if (ec == http::error::header_limit)
-    {
-        return request_outcome::head_too_large;
-    }
-    if (ec == http::error::body_limit)
-    {
-        return request_outcome::body_too_large;
-    }
-    return request_outcome::malformed;
-}
-
-bool wants_continue(const http::request<http::string_body>& message)
-{
-    return same_header_name(to_string(message[http::field::expect]), "100-continue");
-}
-
-/// Returns whether the end of the body is beyond doubt: RFC 9112, section 6.3. Whoever
-/// wrote a request with another transfer coding would take the rest of its body for a
-/// request of its own, or the body for something else than is passed on.
-bool has_sound_framing(const http::request<http::string_body>& message)
-{
-    constexpr unsigned http_1_1 = 11;
-    const auto codings = message.count(http::field::transfer_encoding);
-    if (codings == 0)
-    {
-        return true;
-    }
-    return codings == 1 && message.version() == http_1_1 &&
-           message.count(http::field::content_length) == 0 &&
-           same_header_name(to_string(message[http::field::transfer_encoding]),
-                            "chunked");
-}
-
 /// Waits for the first bytes of a request. Returns complete if there are any.
 request_outcome wait_for_request(tcp_stream& stream, const limits_source& current,
                                  int stop_fd)
@@ -111,17 +78,33 @@
     return stream.receive() ? request_outcome::complete : request_outcome::truncated;
 }
 
+/// Takes memory for the bytes of the body that are to be parsed next.
+bool cover_body(request_parser& parser, std::uint64_t size, const reading_terms& terms,
+                time_point now)
+{
+    if (terms.memory == nullptr || !parser.has_head())
+    {
+        return true;
+    }
+    if (size > connection_memory::small_body_bytes)
+    {
+        parser.reserve_body();
+    }
+    return terms.memory->cover_body(size, now);
+}
+
 } // namespace
 
 request_outcome read_request(tcp_stream& stream, const caller_limits& limits, int stop_fd,
                              received_request& into)
 {
     return read_request(
-        stream, [&limits] { return limits; }, stop_fd, into);
+        stream, [&limits] { return limits; }, stop_fd, {}, into);
 }
 
 request_outcome read_request(tcp_stream& stream, const limits_source& current,
-                             int stop_fd, received_request& into)
+                             int stop_fd, const reading_terms& terms,
+                             received_request& into)
 {
     const auto begun = wait_for_request(stream, current, stop_fd);
     if (begun != request_outcome::complete)
@@ -129,61 +112,62 @@
         return begun;
     }
     const auto limits = current();
-    http::request_parser<http::string_body> parser;
-    parser.header_limit(limits.max_header_bytes);
-    parser.body_limit(limits.max_body_bytes);
-    parser.eager(true);
-    bool continued = false;
-    bool framing_checked = false;
-    auto until = steady::now() + limits.header_timeout;
-    while (!parser.is_done())
+    request_parser parser(limits, terms.framing);
+    auto now = steady::now();
+    auto until = now + limits.header_timeout;
+    if (terms.memory != nullptr && !terms.memory->begin_request(now))
     {
-        const auto bytes = stream.buffered();
-        if (!bytes.empty())
+        return request_outcome::no_memory;
+    }
+    for (bool head_seen = false;;)
+    {
+        const auto announced = parser.announced_bytes();
+        const auto arrived = parser.body_bytes() + stream.buffered().size();
+        if (!cover_body(parser, announced > 0 ? announced : arrived, terms, now))
         {
-            boost::beast::error_code ec;
-            const auto n =
-                parser.put(boost::asio::buffer(bytes.data(), bytes.size()), ec);
-            stream.consume(n);
-            if (ec && ec != http::error::need_more)
-            {
-                return to_outcome(ec);
-            }
-            if (parser.is_header_done() && !framing_checked)
+            return request_outcome::no_memory;
+        }
+        if (const auto end = parser.parse(stream))
+        {
+            if (*end == request_outcome::complete)
             {
-                if (!has_sound_framing(parser.get()))
-                {
-                    return request_outcome::malformed;
-                }
-                framing_checked = true;
+                into = parser.release();
             }
-            if (parser.is_done())
+            return *end;
+        }
+        if (parser.has_head() && !head_seen)
+        {
+            head_seen = true;
+            // A body that would find no memory is refused before it is sent.
+            if (!cover_body(parser, parser.announced_bytes(), terms, now))
             {
-                break;
+                return request_outcome::no_memory;
             }
-            if (parser.is_header_done() && !continued && wants_continue(parser.get()))
+            if (parser.expects_continue())
             {
                 stream.send("HTTP/1.1 100 Continue\r\n\r\n", until);
-                continued = true;
             }
         }
+        const auto buffered = stream.buffered().size();
         const auto outcome = wait_for_bytes(stream, until);
+        if (terms.memory != nullptr && terms.memory->closed_for_memory())
+        {
+            return request_outcome::no_memory;
+        }
         if (outcome != request_outcome::complete)
         {
             return outcome;
         }
-        if (parser.is_header_done())
+        now = steady::now();
+        if (terms.memory != nullptr)
         {
-            until = steady::now() + limits.idle_timeout;
+            terms.memory->record_progress(stream.buffered().size() - buffered, now);
+        }
+        if (parser.has_head())
+        {
+            until = now + limits.idle_timeout;
         }
     }
-    auto message = parser.release();
-    into.keep_alive = message.keep_alive();
-    into.head.method = to_string(message.method_string());
-    into.head.target = to_string(message.target());
-    copy_fields(message, into.head);
-    into.body = std::move(message.body());
-    return request_outcome::complete;
 }
 
 struct response_reader::parser
--- a/source/connection/http_reader.hpp
+++ b/source/connection/http_reader.hpp
@@ -2,8 +2,10 @@
 /// Reads HTTP/1.1 messages from a tcp_stream, parsed by Boost.Beast.
 #pragma once
 
+#include "connection/framing_limits.hpp"
 #include "connection/message_head.hpp"
 #include "connection/tcp_stream.hpp"
+#include "process/memory_budget.hpp"
 #include "version/route_table.hpp"
 
 #include <cstdint>
@@ -25,13 +27,15 @@
 enum class request_outcome
 {
     complete,
-    closed,         ///< The caller closed or the server stops before a request began.
-    truncated,      ///< The caller closed in the middle of a request.
-    idle_timeout,   ///< No request began within the idle timeout.
-    timed_out,      ///< The request was not complete in time.
-    head_too_large, ///< The head exceeds the limit.
-    body_too_large, ///< The body exceeds the limit.
-    malformed       ///< Not a valid HTTP request.
+    closed,            ///< The caller closed or the server stops before a request began.
+    truncated,         ///< The caller closed in the middle of a request.
+    idle_timeout,      ///< No request began within the idle timeout.
+    timed_out,         ///< The request was not complete in time.
+    head_too_large,    ///< The head exceeds the limit.
+    body_too_large,    ///< The body exceeds the limit.
+    malformed,         ///< Not a valid HTTP request.
+    framing_too_large, ///< Chunk lines or trailers exceed a limit.
+    no_memory          ///< The memory budget has too little left for it.
 };
 
 struct received_request
@@ -44,14 +48,22 @@
 /// Returns the limits that are in force.
 using limits_source = std::function<caller_limits()>;
 
+/// What else bounds the reading of a request.
+struct reading_terms
+{
+    framing_limits framing;
+    connection_memory* memory = nullptr; ///< Of the connection; none if not bounded.
+};
+
 /// Reads one request. `stop_fd` becomes readable when the server stops; a request that
 /// has begun is still read to its end. The limits are those in force when it begins;
 /// until then an idle connection is kept for a second longer than the limits in force
 /// allow. Throws connection_error if the connection is reset.
 request_outcome read_request(tcp_stream& stream, const limits_source& current,
-                             int stop_fd, received_request& into);
+                             int stop_fd, const reading_terms& terms,
+                             received_request& into);
 
-/// Reads one request under fixed limits.
+/// Reads one request under fixed limits, without a bound on memory but these.
 request_outcome read_request(tcp_stream& stream, const caller_limits& limits, int stop_fd,
                              received_request& into);
 
--- a/source/connection/status_server.cpp
+++ b/source/connection/status_server.cpp
@@ -18,12 +18,15 @@
 constexpr milliseconds accept_retry_delay{100};
 // Allows collectors that poll every 5 s to reuse their connection.
 constexpr milliseconds collector_idle_timeout{10'000};
+// Relayed calls name a table and a version; the others have no body.
+constexpr std::uint64_t max_status_body_bytes = 65'536;
 
 void serve_status_connection(unique_fd sock, int stop_fd, const request_handler& respond)
 {
     tcp_stream stream(std::move(sock));
     caller_limits limits;
     limits.idle_timeout = collector_idle_timeout;
+    limits.max_body_bytes = max_status_body_bytes;
     try
     {
         received_request request;
--- a/source/connection/tcp_stream.cpp
+++ b/source/connection/tcp_stream.cpp
@@ -15,6 +15,13 @@
 namespace {
 
 constexpr std::size_t receive_chunk_bytes = 16'384; // per system call
+// Sent together with a head, so that a small message goes out in one packet.
+constexpr std::size_t joined_body_bytes = 16'384;
+// Bytes that were received and not read count toward the memory of the VM. The kernel
+// doubles the value; at the longest round trip of 6 ms it allows 85 Mbit/s to one caller.
+constexpr int receive_buffer_bytes = 65'536;
+// Twice what the largest link of 200 Mbit/s sends in a round trip, rounded down.
+constexpr int unsent_bytes = 131'072;
 
 int poll_timeout(time_point until)
 {
@@ -109,6 +116,15 @@
     send_some(bytes, until, true);
 }
 
+void tcp_stream::send_until_response(std::string head, std::string_view body,
+                                     time_point until)
+{
+    const auto joined = body.substr(0, joined_body_bytes);
+    head += joined;
+    send_some(head, until, true);
+    send_some(body.substr(joined.size()), until, true);
+}
+
 void tcp_stream::send_some(std::string_view bytes, time_point until, bool stop_on_input)
 {
     const auto events = static_cast<short>(stop_on_input ? POLLOUT | POLLIN : POLLOUT);
@@ -142,6 +158,30 @@
     ::shutdown(sock_.get(), SHUT_WR);
 }
 
+void tcp_stream::limit_kernel_buffers()
+{
+    setsockopt(sock_.get(), SOL_SOCKET, SO_RCVBUF, &receive_buffer_bytes,
+               sizeof receive_buffer_bytes);
+    setsockopt(sock_.get(), IPPROTO_TCP, TCP_NOTSENT_LOWAT, &unsent_bytes,
+               sizeof unsent_bytes);
+}
+
+void tcp_stream::discard_input(std::size_t max_bytes, time_point until)
+{
+    std::array<char, receive_chunk_bytes> buf;
+    std::size_t dropped = 0;
+    while (dropped < max_bytes &&
+           wait_readable(sock_.get(), -1, until) == wake_cause::first)
+    {
+        const auto n = ::recv(sock_.get(), buf.data(), buf.size(), MSG_DONTWAIT);
+        if (n <= 0)
+        {
+            return;
+        }
+        dropped += static_cast<std::size_t>(n);
+    }
+}
+
 void tcp_stream::set_peer_timeout(milliseconds limit)
 {
     const int on = 1;
--- a/source/connection/tcp_stream.hpp
+++ b/source/connection/tcp_stream.hpp
@@ -48,11 +48,21 @@
     /// Sends until all bytes are sent or the peer has sent data, because a response may
     /// arrive before the peer has read the request. Throws like send().
     void send_until_response(std::string_view bytes, time_point until);
+    /// Sends `head` and `body` like send_until_response(), without a copy of the body.
+    void send_until_response(std::string head, std::string_view body, time_point until);
     void close() { sock_.reset(); }
     /// Closes the sending direction only, so that sent bytes arrive even if the peer is
     /// still sending.
     void shutdown_write();
 
+    /// Bounds what the kernel holds of this connection: received bytes that were not
+    /// read, and bytes to be sent that are not on their way.
+    void limit_kernel_buffers();
+    /// Receives and drops bytes until the peer closes, `max_bytes` have come or `until`
+    /// passes. A close with bytes unread would reset the connection and could destroy a
+    /// response that was just sent.
+    void discard_input(std::size_t max_bytes, time_point until);
+
     /// Makes the kernel close the connection after `limit` of unacknowledged data or
     /// unanswered keep-alive probes.
     void set_peer_timeout(milliseconds limit);
--- a/source/process/forward_service.hpp
+++ b/source/process/forward_service.hpp
@@ -60,7 +60,11 @@
 class forward_service
 {
 public:
-    explicit forward_service(gateway_state& state) : state_(state) {}
+    /// `memory` is that of the connection whose requests are served.
+    forward_service(gateway_state& state, connection_memory& memory)
+        : state_(state), memory_(memory)
+    {
+    }
 
     /// Serves one request. If `close` is set, the connection is closed after the
     /// response. Returns false if the connection must be closed.
@@ -260,7 +264,7 @@
             run.call.matched_route, place, state_.response_delays.allowed_delay(service));
         const auto began = steady::now();
         const answer_limits limits{state_.settings.max_answer_bytes,
-                                   state_.settings.max_event_bytes, state_.answer_bytes};
+                                   state_.settings.max_event_bytes, state_.memory};
         forward_attempt<Codec, attempt_monitor> attempt(run.call, timeouts, limits,
                                                         memory, monitor);
         auto result = attempt.run(place.main.backend, terms);
@@ -326,7 +330,10 @@
         }
         if (!run.call.response.begun())
         {
-            run.call.response.send_buffered(result.head, result.body);
+            memory_.begin_sending(result.held.bytes(), steady::now());
+            run.call.response.send_buffered(
+                result.head, result.body,
+                [this](std::size_t n) { memory_.record_progress(n, steady::now()); });
         }
         const auto latency = run.first_event.value_or(steady::now()) - run.arrived;
         if (success)
@@ -430,6 +437,7 @@
     }
 
     gateway_state& state_;
+    connection_memory& memory_;
 };
 
 } // namespace pistachiopost
--- a/source/process/gateway_metrics.cpp
+++ b/source/process/gateway_metrics.cpp
@@ -48,21 +48,24 @@
 std::string gateway_metrics::text(const gateway_gauges& gauges) const
 {
     const std::lock_guard lock(mutex_);
-    auto out = fmt::format("# TYPE pistachiopost_gateway_info gauge\n"
-                           "pistachiopost_gateway_info{{vm=\"{}\"}} 1\n"
-                           "# TYPE pistachiopost_time_seconds gauge\n"
-                           "pistachiopost_time_seconds {:.3f}\n"
-                           "# TYPE pistachiopost_configuration_version gauge\n"
-                           "pistachiopost_configuration_version {}\n"
-                           "# TYPE pistachiopost_waiting_requests gauge\n"
-                           "pistachiopost_waiting_requests {}\n"
-                           "# TYPE pistachiopost_connections gauge\n"
-                           "pistachiopost_connections {}\n"
-                           "# TYPE pistachiopost_blocked_suspects gauge\n"
-                           "pistachiopost_blocked_suspects {}\n"
-                           "# TYPE pistachiopost_requests_total counter\n",
-                           gauges.vm, gauges.time_s, gauges.version, gauges.waiting,
-                           gauges.connections, gauges.blocked_suspects);
+    auto out =
+        fmt::format("# TYPE pistachiopost_gateway_info gauge\n"
+                    "pistachiopost_gateway_info{{vm=\"{}\"}} 1\n"
+                    "# TYPE pistachiopost_time_seconds gauge\n"
+                    "pistachiopost_time_seconds {:.3f}\n"
+                    "# TYPE pistachiopost_configuration_version gauge\n"
+                    "pistachiopost_configuration_version {}\n"
+                    "# TYPE pistachiopost_waiting_requests gauge\n"
+                    "pistachiopost_waiting_requests {}\n"
+                    "# TYPE pistachiopost_connections gauge\n"
+                    "pistachiopost_connections {}\n"
+                    "# TYPE pistachiopost_blocked_suspects gauge\n"
+                    "pistachiopost_blocked_suspects {}\n"
+                    "# TYPE pistachiopost_memory_bytes gauge\n"
+                    "pistachiopost_memory_bytes {}\n"
+                    "# TYPE pistachiopost_requests_total counter\n",
+                    gauges.vm, gauges.time_s, gauges.version, gauges.waiting,
+                    gauges.connections, gauges.blocked_suspects, gauges.memory_bytes);
     for (const auto& [name, n] : outcomes_)
     {
         out +=
--- a/source/process/gateway_metrics.hpp
+++ b/source/process/gateway_metrics.hpp
@@ -21,6 +21,7 @@
     std::size_t waiting = 0;          ///< Requests waiting for a placement.
     std::size_t connections = 0;      ///< Of callers.
     std::size_t blocked_suspects = 0; ///< Whose requests are refused.
+    std::uint64_t memory_bytes = 0;   ///< Taken from the memory budget.
 };
 
 /// The metrics of a gateway. Thread-safe; bounded in size.
--- a/source/process/gateway_process.hpp
+++ b/source/process/gateway_process.hpp
@@ -183,6 +183,7 @@
 {
     using codec = typename Platform::codec;
     using store = typename Platform::store;
+    bound_allocator();
     gateway_state state(settings);
     auto callers = listen_tcp(settings.listen);
     const auto readiness = listen_tcp(settings.readiness);
@@ -241,10 +242,10 @@
                 std::chrono::system_clock::now().time_since_epoch();
             return status_response{
                 200, "text/plain; version=0.0.4",
-                state.metrics.text({state.settings.self.vm, unix_time.count(),
-                                    state.routes.version(), state.dispatch.waiting(),
-                                    state.connections,
-                                    state.crashes.blocked_count(steady::now())})};
+                state.metrics.text(
+                    {state.settings.self.vm, unix_time.count(), state.routes.version(),
+                     state.dispatch.waiting(), state.connections,
+                     state.crashes.blocked_count(steady::now()), state.memory.used()})};
         });
     });
     task serve_callers([&] { accept_callers<codec>(state, std::move(callers)); });
--- a/source/process/gateway_state.hpp
+++ b/source/process/gateway_state.hpp
@@ -4,10 +4,10 @@
 
 #include "connection/unique_fd.hpp"
 #include "process/admission/dispatcher.hpp"
-#include "process/byte_budget.hpp"
 #include "process/crash_tracker.hpp"
 #include "process/gateway_metrics.hpp"
 #include "process/membership/gateway_directory.hpp"
+#include "process/memory_budget.hpp"
 #include "process/response_delay_estimator.hpp"
 #include "process/service_retry_budgets.hpp"
 #include "process/settings.hpp"
@@ -24,7 +24,7 @@
     explicit gateway_state(const gateway_settings& it)
         : settings(it), dispatch(it.self.zone, it.self.vm), budgets(it.repeats),
           directory({it.self.vm, it.peers, it.self.zone, it.cores}, started_at),
-          answer_bytes(it.memory_bytes / answer_memory_divisor), stop_fd(open_event_fd()),
+          memory(it.memory_bytes / memory_parts * budget_parts), stop_fd(open_event_fd()),
           max_connections(it.max_connections), stop_grace(it.stop_grace)
     {
     }
@@ -38,8 +38,10 @@
         set_min_log_level(it.self.min_log_level);
     }
 
-    // Answers that are held back take at most this part of the memory of the VM.
-    static constexpr std::uint64_t answer_memory_divisor = 4;
+    // The budget is five eighths of the memory of the VM. The rest is for the process
+    // itself and for what the allocator and the kernel hold beside the bytes counted.
+    static constexpr std::uint64_t memory_parts = 8;
+    static constexpr std::uint64_t budget_parts = 5;
 
     const gateway_settings& settings; ///< As read at startup.
     const time_point started_at = steady::now();
@@ -50,7 +52,7 @@
     crash_tracker crashes;
     gateway_directory directory;
     gateway_metrics metrics;
-    byte_budget answer_bytes;              ///< Parts of answers held by all requests.
+    memory_budget memory;                  ///< For connections, requests and answers.
     unique_fd stop_fd;                     ///< Readable once idle connections must close.
     unique_fd ending_fd = open_event_fd(); ///< Readable shortly before the process ends.
     std::atomic<bool> stopping = false;    ///< A stop signal was received.
--- a/source/process/settings.hpp
+++ b/source/process/settings.hpp
@@ -3,6 +3,7 @@
 /// settings_reloader applies.
 #pragma once
 
+#include "connection/framing_limits.hpp"
 #include "connection/unique_fd.hpp"
 #include "process/dispatch_window.hpp"
 #include "process/logging.hpp"
@@ -90,6 +91,7 @@
     std::uint64_t max_answer_bytes = 8U << 20U; ///< Of a plain call's answer.
     std::uint64_t max_event_bytes = 1U << 20U;  ///< Of one event of a stream.
     std::uint32_t max_connections = 1'300; ///< A third of the descriptors of an entry VM.
+    framing_limits framing;                ///< Of callers' requests.
     repeat_limits repeats;
     milliseconds stop_grace{8'000}; ///< From the stop signal to SIGKILL by the platform.
 };
--- a/source/process/settings_document.cpp
+++ b/source/process/settings_document.cpp
@@ -159,6 +159,19 @@
     return it.value_or(endpoint());
 }
 
+framing_limits read_framing(json_reader& in)
+{
+    framing_limits it;
+    it.max_chunk_line_bytes = static_cast<std::uint32_t>(
+        in.integer("max_chunk_line_bytes", {16, 65'536}, it.max_chunk_line_bytes));
+    it.max_trailer_fields = static_cast<std::uint32_t>(
+        in.integer("max_trailer_fields", {0, 1'000}, it.max_trailer_fields));
+    it.max_framing_bytes = static_cast<std::uint64_t>(
+        in.integer("max_framing_bytes", {1'024, 1 << 30},
+                   static_cast<std::int64_t>(it.max_framing_bytes)));
+    return it;
+}
+
 gateway_settings read_gateway(json_reader& root)
 {
     gateway_settings it;
@@ -171,6 +184,7 @@
     auto in = root.object("limits", false);
     it.max_connections = static_cast<std::uint32_t>(
         in.integer("max_connections", {1, 20'000}, it.max_connections));
+    it.framing = read_framing(in);
     it.repeats.ratio = in.number("repeat_ratio", share_range, it.repeats.ratio);
     it.repeats.slack = in.number("repeat_slack", {0, 1e6}, it.repeats.slack);
     it.repeats.window = read_milliseconds(in, "repeat_window_ms", it.repeats.window);
--- a/tests/fuzz/main.cpp
+++ b/tests/fuzz/main.cpp
@@ -37,6 +37,7 @@
 };
 
 constexpr std::array targets{target{"caller", fuzz_caller},
+                             target{"framing", fuzz_framing},
                              target{"backend", fuzz_backend},
                              target{"configuration", fuzz_configuration},
                              target{"backend_row", fuzz_backend_row},
--- a/tests/fuzz/targets.cpp
+++ b/tests/fuzz/targets.cpp
@@ -6,6 +6,7 @@
 #include "connection/http_reader.hpp"
 #include "connection/load_report_codec.hpp"
 #include "connection/relay_codec.hpp"
+#include "connection/request_parser.hpp"
 #include "platform/configuration_codec.hpp"
 #include "platform/message_codec.hpp"
 
@@ -108,6 +109,67 @@
     }
 }
 
+void fuzz_framing(std::string_view bytes, mutator& choices)
+{
+    constexpr std::size_t max_part_bytes = 300;
+    constexpr std::uint64_t budget_bytes = 262'144;
+    const std::string head = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    auto limits = short_timeout_limits();
+    limits.max_header_bytes = 1'024;
+    limits.max_body_bytes = 4'096;
+    const framing_limits framing{128, 8, 512};
+
+    std::array<int, 2> pair{-1, -1};
+    require(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, pair.data()) == 0,
+            "a connection");
+    tcp_stream stream{unique_fd(pair[0])};
+    const unique_fd peer(pair[1]);
+    request_parser parser(limits, framing);
+    const auto text = head + std::string(bytes);
+    std::size_t sent = 0;
+    std::optional<request_outcome> outcome;
+    while (sent < text.size() && !outcome)
+    {
+        const auto n =
+            std::min(1 + choices.random_below(max_part_bytes), text.size() - sent);
+        require(write(peer.get(), text.data() + sent, n) == static_cast<ssize_t>(n),
+                "a part fits into the socket buffer");
+        sent += n;
+        stream.receive();
+        outcome = parser.parse(stream);
+        require(stream.buffered().size() <= limits.max_header_bytes + max_part_bytes,
+                "what waits for its end is bounded");
+        require(!parser.has_head() || parser.body_bytes() <= limits.max_body_bytes,
+                "the body is bounded");
+    }
+    if (outcome == request_outcome::complete)
+    {
+        const auto taken = sent - stream.buffered().size() - head.size();
+        require(taken <= 2 * parser.body_bytes() + framing.max_framing_bytes,
+                "the framing of an accepted body is bounded");
+        require(parser.release().head.fields.size() == 1, "no trailer enters the head");
+    }
+
+    memory_budget budget(budget_bytes);
+    {
+        preloaded_connection caller(text);
+        connection_memory memory(budget, caller.stream->fd());
+        received_request request;
+        require(memory.admit(), "there is memory for one connection");
+        try
+        {
+            read_request(
+                *caller.stream, [&] { return limits; }, -1, {framing, &memory}, request);
+        }
+        catch (const connection_error&)
+        {
+            // Malformed input: the gateway closes the connection.
+        }
+        require(budget.used() <= budget_bytes, "the budget is kept");
+    }
+    require(budget.used() == 0, "all memory is given back");
+}
+
 void fuzz_backend(std::string_view bytes, mutator& choices)
 {
     response_reader answer("POST");
--- a/tests/fuzz/targets.hpp
+++ b/tests/fuzz/targets.hpp
@@ -20,6 +20,10 @@
 /// that one request.
 void fuzz_caller(std::string_view bytes, mutator& choices);
 
+/// Parses the bytes as a chunked body with its extensions and trailers, received in
+/// random parts. What is buffered, held and accepted must stay within the limits.
+void fuzz_framing(std::string_view bytes, mutator& choices);
+
 /// Parses the bytes as the answer of a backend server, received in random chunks. The
 /// forwarded events must be a prefix of the body, however it is split.
 void fuzz_backend(std::string_view bytes, mutator& choices);
--- a/tests/gateway/gateway_flood_test.cpp
+++ b/tests/gateway/gateway_flood_test.cpp
@@ -78,7 +78,7 @@
     cr_assert_eq(answer.body, "sound");
     // An answer of 8 MB at most, its copies, and the senders of this test.
     cr_assert_lt(resident_kb() - std::min(before, resident_kb()), 65'536U);
-    cr_assert_eq(gateway.state->answer_bytes.used(), 0U);
+    cr_assert_eq(gateway.state->memory.used(), 0U);
 }
 
 } // namespace
--- /dev/null
+++ b/tests/gateway/gateway_memory_test.cpp
@@ -0,0 +1,221 @@
+/// Requests that cost a gateway memory without limit unless it bounds them: trailers,
+/// chunk extensions, tiny chunks, and bodies beyond what its memory can hold. Guards
+/// against a process that is killed for its memory, and against limits that refuse what a
+/// sound caller sends.
+#include "gateway_fixture.hpp"
+
+#include <criterion/criterion.h>
+
+#include <string>
+#include <string_view>
+
+using namespace pistachiopost;
+
+namespace {
+
+constexpr std::size_t max_body = 4'194'304;
+
+/// A gateway on a VM with `memory_mb` before a service that answers every request.
+struct memory_fixture : gateway_fixture
+{
+    explicit memory_fixture(std::uint64_t memory_mb = 160)
+    {
+        settings.memory_bytes = memory_mb << 20U;
+        state = std::make_unique<gateway_state>(settings);
+        state->backends_loaded = true;
+        configure(1);
+        add_backend(server, "i-1", "plain");
+    }
+    ~memory_fixture() { join_connections(); }
+
+    /// Sends a request of these framing fields and this body.
+    tcp_stream send(std::string_view framing, std::string_view body)
+    {
+        auto caller = connect();
+        send_text(caller, fmt::format("POST /safe/x HTTP/1.1\r\nHost: a.test\r\n"
+                                      "Request-Id: r1\r\nApi-Key: key-a\r\n"
+                                      "Deadline-Ms: 9000\r\n{}\r\n",
+                                      framing));
+        send_text(caller, body);
+        return caller;
+    }
+    tcp_stream send_chunked(std::string_view body)
+    {
+        return send("Transfer-Encoding: chunked\r\n", body);
+    }
+
+    scripted_backend server{[](auto& stream, const auto& request) {
+        send_response(stream, request, 200, "ok");
+    }};
+};
+
+std::string chunks(std::size_t size, std::size_t chunk)
+{
+    std::string all;
+    for (std::size_t n = 0; n < size; n += chunk)
+    {
+        const auto part = std::min(chunk, size - n);
+        all += fmt::format("{:x}\r\n{}\r\n", part, std::string(part, 'b'));
+    }
+    return all;
+}
+
+void assert_refused(std::string_view body, int status)
+{
+    memory_fixture gateway;
+    auto caller = gateway.send_chunked(body);
+    const auto answer = gateway_fixture::read_answer(caller);
+    cr_assert_eq(answer.head.status, status, "status %d", answer.head.status);
+    cr_assert_eq(answer.head.value("Connection"), "close");
+    gateway.join_connections();
+    cr_assert(gateway.server.requests().empty());
+    cr_assert_eq(gateway.state->memory.used(), 0U);
+}
+
+} // namespace
+
+Test(gateway_memory, largest_body_is_served_on_the_smallest_vm)
+{
+    memory_fixture gateway;
+    const std::string body(max_body, 'b');
+    for (const bool in_chunks : {false, true})
+    {
+        auto caller =
+            in_chunks
+                ? gateway.send_chunked(chunks(max_body, 60'000) + "0\r\n\r\n")
+                : gateway.send(fmt::format("Content-Length: {}\r\n", max_body), body);
+        cr_assert_eq(gateway_fixture::read_answer(caller).head.status, 200);
+    }
+    gateway.join_connections();
+    const auto requests = gateway.server.requests();
+    cr_assert_eq(requests.size(), 2U);
+    cr_assert(requests[0].body == body);
+    cr_assert(requests[1].body == body);
+    cr_assert_eq(gateway.state->memory.used(), 0U);
+}
+
+Test(gateway_memory, body_in_small_chunks_with_short_extensions_is_served)
+{
+    memory_fixture gateway;
+    auto caller =
+        gateway.send_chunked(chunks(200'000, 40) + "5;a=\"b c\";d\r\nhello\r\n" +
+                             "0;last\r\nX-Sum: 1\r\nX-Other: 2\r\n\r\n");
+    cr_assert_eq(gateway_fixture::read_answer(caller).head.status, 200);
+    const auto requests = gateway.server.requests();
+    cr_assert_eq(requests.at(0).body.size(), 200'005U);
+}
+
+/// A trailer is no field of the head; one that was taken for it could replace what the
+/// gateway has checked.
+Test(gateway_memory, trailers_do_not_reach_the_head)
+{
+    memory_fixture gateway;
+    auto caller = gateway.send_chunked("2\r\nhi\r\n0\r\nX-Late: 1\r\n\r\n");
+    cr_assert_eq(gateway_fixture::read_answer(caller).head.status, 200);
+    cr_assert_eq(gateway.server.requests().at(0).head.find("X-Late"), nullptr);
+}
+
+Test(gateway_memory, trailers_without_end_are_refused)
+{
+    std::string fields;
+    for (int n = 0; n < 40; ++n)
+    {
+        fields += "X-Trailer: " + std::string(1'000, 't') + "\r\n";
+    }
+    assert_refused("2\r\nhi\r\n0\r\n" + fields, 400);
+}
+
+Test(gateway_memory, trailer_line_without_end_is_refused)
+{
+    assert_refused("2\r\nhi\r\n0\r\nX-Trailer: " + std::string(40'000, 't'), 400);
+}
+
+Test(gateway_memory, many_trailer_fields_are_refused)
+{
+    std::string fields;
+    for (int n = 0; n < 65; ++n)
+    {
+        fields += "X: 1\r\n";
+    }
+    assert_refused("2\r\nhi\r\n0\r\n" + fields + "\r\n", 400);
+}
+
+Test(gateway_memory, chunk_extension_without_end_is_refused)
+{
+    assert_refused("2;" + std::string(20'000, 'e'), 400);
+}
+
+Test(gateway_memory, long_chunk_extension_is_refused)
+{
+    assert_refused("2;" + std::string(5'000, 'e') + "\r\nhi\r\n0\r\n\r\n", 400);
+    assert_refused("2\r\nhi\r\n0;" + std::string(5'000, 'e') + "\r\n\r\n", 400);
+}
+
+Test(gateway_memory, body_that_is_mostly_framing_is_refused)
+{
+    assert_refused(chunks(40'000, 1), 400);
+}
+
+Test(gateway_memory, chunked_body_over_the_limit_is_refused)
+{
+    assert_refused(chunks(max_body + 1, 60'000), 413);
+}
+
+/// A close with bytes unread resets the connection, and the answer may be lost.
+Test(gateway_memory, announced_body_over_the_limit_is_refused_while_it_is_sent)
+{
+    memory_fixture gateway;
+    auto caller = gateway.send("Content-Length: 4194305\r\n", std::string(900'000, 'b'));
+    const auto answer = gateway_fixture::read_answer(caller);
+    cr_assert_eq(answer.head.status, 413);
+    cr_assert(answer.complete);
+}
+
+Test(gateway_memory, body_beyond_the_memory_is_refused_as_not_run)
+{
+    memory_fixture gateway(16);
+    // Five eighths of 10 MB are for bodies: one of these, and small requests beside it.
+    const auto length = fmt::format("Content-Length: {}\r\n", max_body);
+    auto first = gateway.send(length, std::string(max_body - 1, 'b'));
+    while (gateway.state->memory.used() < max_body)
+    {
+        wait_readable(-1, -1, steady::now() + milliseconds{5});
+    }
+    auto second = gateway.send(length, "b");
+    const auto refused = gateway_fixture::read_answer(second);
+    cr_assert_eq(refused.head.status, 503);
+    cr_assert_neq(refused.head.find("Retry-After"), nullptr);
+    cr_assert_eq(gateway.send_request("/safe/x", {}, "small").head.status, 200);
+    send_text(first, "b");
+    cr_assert_eq(gateway_fixture::read_answer(first).head.status, 200);
+    cr_assert_eq(gateway.server.requests().size(), 2U);
+}
+
+Test(gateway_memory, body_that_stalls_gives_way_to_the_next)
+{
+    memory_fixture gateway(16);
+    const auto length = fmt::format("Content-Length: {}\r\n", max_body);
+    auto first = gateway.send(length, std::string(max_body - 1, 'b'));
+    while (gateway.state->memory.used() < max_body)
+    {
+        wait_readable(-1, -1, steady::now() + milliseconds{5});
+    }
+    wait_readable(-1, -1, steady::now() + memory_budget::stall_time + milliseconds{500});
+    auto second = gateway.send(length, std::string(max_body, 'b'));
+    cr_assert_eq(gateway_fixture::read_answer(second).head.status, 200);
+    cr_assert_eq(gateway_fixture::read_answer(first).head.status, 503);
+    cr_assert_eq(gateway.server.requests().size(), 1U);
+}
+
+Test(gateway_memory, body_without_memory_is_not_asked_for)
+{
+    memory_fixture gateway(16);
+    const auto length = fmt::format("Content-Length: {}\r\n", max_body);
+    auto first = gateway.send(length, "b");
+    while (gateway.state->memory.used() < max_body)
+    {
+        wait_readable(-1, -1, steady::now() + milliseconds{5});
+    }
+    auto second = gateway.send("Expect: 100-continue\r\n" + length, "");
+    cr_assert_eq(gateway_fixture::read_answer(second).head.status, 503);
+}
