An entry bounds the lines that it reads and chunked bodies

Cause: httplib reads lines of any length, and checks the body limit for announced lengths only.

Change: http_connection counts the bytes of a request that are read as lines and ends it at 65,536 more than its content. A chunked body over max_body_bytes is answered 413 and its connection closed.

--- a/source/connection/caller_api.hpp
+++ b/source/connection/caller_api.hpp
@@ -72,10 +72,11 @@
     /// Returns a handler that reads the raw body regardless of its media type.
     /// Without a content reader, httplib parses form bodies and limits them to 8 kB.
     template <typename Handler>
-    static auto with_body(Handler handler)
+    auto with_body(Handler handler) const
     {
-        return [handler](const httplib::Request& http, httplib::Response& res,
-                         const httplib::ContentReader& read) {
+        const auto limit = state_.settings.max_body_bytes;
+        return [handler, limit](const httplib::Request& http, httplib::Response& res,
+                                const httplib::ContentReader& read) {
             if (http.is_multipart_form_data())
             {
                 send_refusal(res,
@@ -84,14 +85,25 @@
                 return;
             }
             std::string body;
-            const bool complete = read([&body](const char* data, std::size_t n) {
-                body.append(data, n);
-                return true;
+            bool over_limit = false; // httplib checks announced lengths only
+            const bool complete = read([&](const char* data, std::size_t n) {
+                over_limit = body.size() + n > limit;
+                if (!over_limit)
+                {
+                    body.append(data, n);
+                }
+                return !over_limit;
             });
             if (complete)
             {
                 handler(http, res, std::move(body));
             }
+            else if (over_limit)
+            {
+                constexpr int content_too_large = 413;
+                res.status = content_too_large;
+                http_connection::current().abort(); // the rest of the body is not read
+            }
         };
     }
 
--- a/source/connection/http_connection.cpp
+++ b/source/connection/http_connection.cpp
@@ -13,6 +13,10 @@
 
 namespace {
 
+// Head, chunk lines and trailers of one request, beyond the bytes of its content. httplib
+// does not bound the lines that it reads.
+constexpr std::uint64_t max_line_bytes = 65'536;
+
 thread_local http_connection* current_connection = nullptr;
 
 bool poll_one(int fd, short events, milliseconds timeout)
@@ -48,6 +52,8 @@
 void http_connection::reset_response()
 {
     begun_ = false;
+    line_bytes_ = 0;
+    content_bytes_ = 0;
 }
 
 bool http_connection::begin(int status, std::string_view content_type)
@@ -104,6 +110,11 @@
         return -1;
     }
     const auto n = std::min(size, end_ - begin_);
+    (size == 1 ? line_bytes_ : content_bytes_) += n; // httplib reads lines byte by byte
+    if (line_bytes_ > max_line_bytes + content_bytes_)
+    {
+        return -1;
+    }
     std::memcpy(ptr, buffer_.data() + begin_, n);
     begin_ += n;
     return static_cast<ssize_t>(n);
--- a/source/connection/http_connection.hpp
+++ b/source/connection/http_connection.hpp
@@ -8,6 +8,7 @@
 #include <httplib.h>
 
 #include <array>
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -33,7 +34,7 @@
     /// Waits for the first byte of the next request. Returns false if the connection
     /// must be closed, on idle timeout or server stop.
     bool wait_for_request(milliseconds idle_timeout);
-    /// Resets the response state for the next request.
+    /// Resets the state of the request and its response for the next one.
     void reset_response();
 
     /// Sends the head of a chunked response. Returns false if the caller has
@@ -75,6 +76,8 @@
     std::array<char, 16'384> buffer_;
     std::size_t begin_ = 0;
     std::size_t end_ = 0;
+    std::uint64_t line_bytes_ = 0;    ///< Of this request, read byte by byte.
+    std::uint64_t content_bytes_ = 0; ///< Of this request, read in larger parts.
     bool begun_ = false;
     bool aborted_ = false;
 };
