--- a/source/connection/forward_attempt.hpp
+++ b/source/connection/forward_attempt.hpp
@@ -95,8 +95,8 @@
     static constexpr milliseconds lost_peer_timeout{3'000};
     // Bytes without an event after which a backend server is faulty, not only slow.
     static constexpr std::size_t max_bytes_without_event = 16'384;
-    // A larger answer gets room at once, so that it is not copied while it grows; memory
-    // is not used before bytes arrive.
+    // A larger answer gets room at once, so that it is not copied while it grows, also
+    // not when it passes its limit; memory is not used before bytes arrive.
     static constexpr std::uint64_t small_answer_bytes = 131'072;
     static constexpr std::uint64_t max_reserved_bytes = 16U << 20U;
     // Interval of looking for another backend server while one is silent.
@@ -319,7 +319,8 @@
             if (result_.body.size() > small_answer_bytes &&
                 result_.body.capacity() < limits_.body_bytes)
             {
-                result_.body.reserve(std::min(limits_.body_bytes, max_reserved_bytes));
+                result_.body.reserve(std::min(limits_.body_bytes, max_reserved_bytes) +
+                                     small_answer_bytes);
             }
             return false;
         }
--- a/source/process/memory_budget.cpp
+++ b/source/process/memory_budget.cpp
@@ -254,10 +254,10 @@
 void bound_allocator()
 {
     // By default the thresholds grow with the buffers that are freed, up to 32 MB, and a
-    // process on many cores has eight arenas for each.
+    // process on many cores has eight arenas for each. The platform asks for two, too.
     constexpr int mmap_threshold_bytes = 131'072;
     constexpr int trim_threshold_bytes = 131'072;
-    constexpr int arenas = 4;
+    constexpr int arenas = 2;
     // A huge page makes 2 MB of a buffer resident at its first byte.
     prctl(PR_SET_THP_DISABLE, 1, 0, 0, 0);
     mallopt(M_MMAP_THRESHOLD, mmap_threshold_bytes);
--- a/tests/process/settings_test.cpp
+++ b/tests/process/settings_test.cpp
@@ -98,6 +98,19 @@
     }
 }
 
+/// A limit on framing that is read wrongly refuses sound callers or bounds nothing.
+Test(settings, framing_limits_of_a_gateway_are_read_and_have_defaults)
+{
+    const std::string text = R"({"role":"gateway","vm":"v","zone":"z","region":"r",
+        "listen":"127.0.0.1:7100","readiness":"127.0.0.1:7101","metrics":"127.0.0.1:7102",
+        "peers":"127.0.0.1:7103","store":"127.0.0.1:7104",
+        "limits":{"max_chunk_line_bytes":100,"max_trailer_fields":3}})";
+    const auto read = std::get<gateway_settings>(parse_settings(text)).framing;
+    cr_assert_eq(read.max_chunk_line_bytes, 100U);
+    cr_assert_eq(read.max_trailer_fields, 3U);
+    cr_assert_eq(read.max_framing_bytes, 65'536U);
+}
+
 namespace {
 
 /// Settings file of a gateway, rewritten by the tests.
