--- a/source/process/gateway_process.hpp
+++ b/source/process/gateway_process.hpp
@@ -202,6 +202,7 @@
 {
     using codec = typename Platform::codec;
     using store = typename Platform::store;
+    bound_allocator();
     gateway_state state(settings);
     auto callers = listen_tcp(settings.listen);
     const auto readiness = listen_tcp(settings.readiness);
@@ -262,12 +263,12 @@
             const auto cold = state.dispatch.count_cold(steady::now());
             return status_response{
                 200, "text/plain; version=0.0.4",
-                state.metrics.text({state.settings.self.vm, unix_time.count(),
-                                    state.routes.version(), state.dispatch.waiting(),
-                                    state.connections,
-                                    state.crashes.blocked_count(steady::now()),
-                                    state.dispatch.evacuated_zone_count(), cold.cold,
-                                    cold.placements, cold.withheld})};
+                state.metrics.text(
+                    {state.settings.self.vm, unix_time.count(), state.routes.version(),
+                     state.dispatch.waiting(), state.connections,
+                     state.crashes.blocked_count(steady::now()),
+                     state.dispatch.evacuated_zone_count(), cold.cold, cold.placements,
+                     cold.withheld, state.memory.used()})};
         });
     });
     task serve_callers([&] { accept_callers<codec>(state, std::move(callers)); });
--- a/source/process/gateway_state.hpp
+++ b/source/process/gateway_state.hpp
@@ -4,16 +4,17 @@
 
 #include "connection/unique_fd.hpp"
 #include "process/admission/dispatcher.hpp"
-#include "process/byte_budget.hpp"
 #include "process/crash_tracker.hpp"
 #include "process/gateway_metrics.hpp"
 #include "process/membership/gateway_directory.hpp"
+#include "process/memory_budget.hpp"
 #include "process/response_delay_estimator.hpp"
 #include "process/service_retry_budgets.hpp"
 #include "process/settings.hpp"
 #include "version/route_table.hpp"
 #include "version/version_holder.hpp"
 
+#include <algorithm>
 #include <atomic>
 
 namespace pistachiopost {
@@ -25,7 +26,7 @@
         : settings(it), dispatch(it.self.zone, it.self.vm, started_at, it.zone_regions),
           budgets(it.repeats),
           directory({it.self.vm, it.peers, it.self.zone, it.cores}, started_at),
-          answer_bytes(it.memory_bytes / answer_memory_divisor), stop_fd(open_event_fd()),
+          memory(budget_bytes(it.memory_bytes)), stop_fd(open_event_fd()),
           max_connections(it.max_connections), stop_grace(it.stop_grace)
     {
         dispatch.update_cold_allowance(
@@ -43,8 +44,16 @@
         set_min_log_level(it.self.min_log_level);
     }
 
-    // Answers that are held back take at most this part of the memory of the VM.
-    static constexpr std::uint64_t answer_memory_divisor = 4;
+    /// Returns the limit of the memory budget on a VM with `memory` bytes: five eighths
+    /// of what the process does not need for itself. The rest is for what the allocator
+    /// and the kernel hold beside the bytes counted.
+    static constexpr std::uint64_t budget_bytes(std::uint64_t memory)
+    {
+        constexpr std::uint64_t process_bytes = 16U << 20U; // 11 MB without any request
+        constexpr std::uint64_t parts = 8;
+        constexpr std::uint64_t budget_parts = 5;
+        return (memory - std::min(memory / 2, process_bytes)) / parts * budget_parts;
+    }
 
     const gateway_settings& settings; ///< As read at startup.
     const time_point started_at = steady::now();
@@ -55,7 +64,7 @@
     crash_tracker crashes;
     gateway_directory directory;
     gateway_metrics metrics;
-    byte_budget answer_bytes;              ///< Parts of answers held by all requests.
+    memory_budget memory;                  ///< For connections, requests and answers.
     unique_fd stop_fd;                     ///< Readable once idle connections must close.
     unique_fd ending_fd = open_event_fd(); ///< Readable shortly before the process ends.
     std::atomic<bool> stopping = false;    ///< A stop signal was received.
--- a/tests/gateway/gateway_cold_test.cpp
+++ b/tests/gateway/gateway_cold_test.cpp
@@ -85,7 +85,7 @@
     const forwarded_request request;
     const route any_route;
     exchange it{received, request, any_route, caller, response, {}, {}, until};
-    byte_budget answers(1'000'000);
+    memory_budget answers(1'000'000);
     const answer_limits limits{1'000, 1'000, answers};
     const notice_handler ignore = [](const auto&, const auto&) {};
     memory_lease<platform::adapter::codec> memory(ignore);
--- a/tests/soak/deployment.cpp
+++ b/tests/soak/deployment.cpp
@@ -104,6 +104,7 @@
                         {"store", to_string(it.store_link->local_endpoint())},
                         {"limits",
                          {{"max_connections", 500 + settings_changes_},
+                          {"memory_mb", size_.memory_mb},
                           {"cold_overage", cold_overage},
                           {"cold_slack", cold_slack}}}};
     std::ofstream(it.settings) << settings.dump(2);
--- a/tests/soak/deployment.hpp
+++ b/tests/soak/deployment.hpp
@@ -26,6 +26,7 @@
     std::size_t engines = 5;
     std::size_t services = 3;
     bool cold_starts = false; ///< The configuration states cold starts of all services.
+    std::uint64_t memory_mb = 256; ///< Of each gateway; the default of the settings.
 };
 
 /// One gateway process.
