The queue is served again when time alone may free capacity

Cause: requests that yield to waiting rivals, or wait for a slot that a peer reported, were looked at again only at the next event. If the peers fell silent, none came: requests waited beside free slots until they were rejected.

The dispatcher's queue and queued_request move to their own files.

--- a/source/process/admission/dispatcher.cpp
+++ b/source/process/admission/dispatcher.cpp
@@ -3,8 +3,6 @@
 #include "process/placement/cell_placement.hpp"
 
 #include <algorithm>
-#include <limits>
-#include <tuple>
 #include <vector>
 
 namespace pistachiopost {
@@ -15,16 +13,6 @@
 // divided by a batch of ten.
 constexpr milliseconds wait_per_queued_request{100};
 
-// Engine time by which a customer may be ahead of the least served waiting customer
-// before its short prompts no longer overtake longer prompts of others: two typical long
-// prompts.
-constexpr double max_lead_ms = 4'000;
-
-// Multiple of the latency target after which a request accepts fewer engines than planned
-// instead of waiting longer. It is late by then, and callers give up at four times the
-// target.
-constexpr int relax_after_targets = 2;
-
 double engine_cost_ms(const placement& place)
 {
     // A slot also costs its share of the decoding steps; one pass is the smallest unit.
@@ -39,14 +27,6 @@
 
 } // namespace
 
-queued_request::queued_request(std::string_view customer,
-                               const placement_request& request, time_point arrived,
-                               time_point target_deadline, time_point urgent_from)
-    : customer_(customer), request_(&request), arrived_(arrived),
-      target_deadline_(target_deadline), urgent_from_(urgent_from), wake_(open_event_fd())
-{
-}
-
 std::optional<placement> dispatcher::try_place(std::string_view customer,
                                                const placement_request& request,
                                                time_point now)
@@ -85,13 +65,13 @@
 time_point dispatcher::recheck_time(const queued_request& queued) const
 {
     const std::lock_guard lock(mutex_);
-    return queued.recheck_at_.value_or(time_point::max());
+    return queued.recheck_time();
 }
 
 bool dispatcher::serve(queued_request& queued, time_point now)
 {
     const std::lock_guard lock(mutex_);
-    if (!queued.place_ && queued.recheck_at_ && *queued.recheck_at_ <= now)
+    if (!queued.place_ && queued.recheck_time() <= now)
     {
         serve_queue(now);
     }
@@ -376,71 +356,4 @@
     served_cost_.add(customer, engine_cost_ms(place));
 }
 
-double dispatcher::min_served_cost() const
-{
-    double least = std::numeric_limits<double>::max();
-    for (const auto* it : queue_)
-    {
-        least = std::min(least, served_cost_.cost_ms(it->customer_));
-    }
-    return least;
-}
-
-void dispatcher::serve_queue(time_point now)
-{
-    if (queue_.empty())
-    {
-        served_cost_.clear(); // without contention fairness needs no history
-        return;
-    }
-    // Requests that can still meet their target and those whose callers are about to give
-    // up go first; then by priority, by fairness among customers, by prompt length and by
-    // arrival.
-    const double least = min_served_cost();
-    const auto key = [&](const queued_request* it) {
-        const bool ahead = served_cost_.cost_ms(it->customer_) > least + max_lead_ms;
-        const bool late = it->target_deadline_ < now && now < it->urgent_from_;
-        return std::tuple(late, it->request_->priority, ahead,
-                          it->request_->prompt_tokens, it->arrived_);
-    };
-    queue_.sort([&](const auto* a, const auto* b) { return key(a) < key(b); });
-    candidate_cache cache;
-    for (auto it = queue_.begin(); it != queue_.end();)
-    {
-        auto& queued = **it;
-        auto request = *queued.request_;
-        request.accept_fewer_engines =
-            now - queued.arrived_ >= queued.target() * relax_after_targets;
-        queued.place_ = find_placement(request, now - queued.arrived_, cache, now);
-        if (!queued.place_)
-        {
-            ++it;
-            continue;
-        }
-        charge(queued.customer_, *queued.place_, now);
-        cache.clear();
-        signal_event_fd(queued.wake_);
-        it = queue_.erase(it);
-    }
-    update_recheck_times(now);
-}
-
-void dispatcher::update_recheck_times(time_point now)
-{
-    std::map<std::string_view, std::optional<time_point>> ends;
-    for (auto* it : queue_)
-    {
-        const auto [entry, is_new] = ends.try_emplace(it->request_->service);
-        if (is_new)
-        {
-            entry->second = registry_.next_backoff_end(it->request_->service, now);
-        }
-        if (it->recheck_at_ != entry->second)
-        {
-            it->recheck_at_ = entry->second;
-            signal_event_fd(it->wake_);
-        }
-    }
-}
-
 } // namespace pistachiopost
--- a/source/process/admission/dispatcher.hpp
+++ b/source/process/admission/dispatcher.hpp
@@ -3,8 +3,8 @@
 /// customers.
 #pragma once
 
-#include "connection/unique_fd.hpp"
 #include "process/admission/customer_costs.hpp"
+#include "process/admission/queued_request.hpp"
 #include "process/membership/backend_registry.hpp"
 #include "process/placement/load_tracker.hpp"
 #include "process/placement/placement.hpp"
@@ -20,34 +20,6 @@
 
 namespace pistachiopost {
 
-/// A request that waits for its placement. Owned by the task of the request.
-class queued_request
-{
-public:
-    /// wake() becomes readable once the request has its placement, or when
-    /// dispatcher::recheck_time() changes.
-    queued_request(std::string_view customer, const placement_request& request,
-                   time_point arrived, time_point target_deadline,
-                   time_point urgent_from);
-
-    [[nodiscard]] const unique_fd& wake() const { return wake_; }
-
-private:
-    friend class dispatcher;
-
-    [[nodiscard]] steady::duration target() const { return target_deadline_ - arrived_; }
-
-    std::string_view customer_;
-    const placement_request* request_;
-    time_point arrived_;
-    time_point target_deadline_; ///< Latency target; later answers are late.
-    time_point urgent_from_;     ///< From then on the caller may give up at any time.
-    std::optional<placement> place_;
-    /// When a backend server of its service that asked for backoff returns.
-    std::optional<time_point> recheck_at_;
-    unique_fd wake_;
-};
-
 /// State of the queue and of a service's backend servers, for the log.
 struct queue_snapshot
 {
@@ -162,8 +134,14 @@
     void serve_queue(time_point now);
     [[nodiscard]] std::optional<time_point> outage_end(std::string_view service,
                                                        time_point now) const;
-    /// Wakes the requests that wait for another end of a backoff than before.
-    void update_recheck_times(time_point now);
+    /// Returns when the service may have capacity for a queued request without any event:
+    /// gateways take turns at free slots and prefill backlogs elapse, and the reports of
+    /// a gateway that fell silent expire.
+    std::optional<time_point> next_free_by_time(std::string_view service,
+                                                candidate_cache& cache, time_point now);
+    /// Wakes the requests that wait for another end of a backoff than before, or that
+    /// have to look after the queue earlier.
+    void update_recheck_times(candidate_cache& cache, time_point now);
     [[nodiscard]] double min_served_cost() const;
 
     mutable std::mutex mutex_;
--- /dev/null
+++ b/source/process/admission/queued_request.hpp
@@ -0,0 +1,50 @@
+/// \file
+/// A request in the queue of a gateway.
+#pragma once
+
+#include "connection/unique_fd.hpp"
+#include "process/placement/placement.hpp"
+
+#include <algorithm>
+#include <optional>
+#include <string_view>
+
+namespace pistachiopost {
+
+/// A request that waits for its placement. Owned by the task of the request.
+class queued_request
+{
+public:
+    /// wake() becomes readable once the request has its placement, or when
+    /// dispatcher::recheck_time() changes.
+    queued_request(std::string_view customer, const placement_request& request,
+                   time_point arrived, time_point target_deadline,
+                   time_point urgent_from);
+
+    [[nodiscard]] const unique_fd& wake() const { return wake_; }
+
+private:
+    friend class dispatcher;
+
+    [[nodiscard]] steady::duration target() const { return target_deadline_ - arrived_; }
+    [[nodiscard]] time_point recheck_time() const
+    {
+        return std::min(backoff_end_.value_or(time_point::max()),
+                        retry_at_.value_or(time_point::max()));
+    }
+
+    std::string_view customer_;
+    const placement_request* request_;
+    time_point arrived_;
+    time_point target_deadline_; ///< Latency target; later answers are late.
+    time_point urgent_from_;     ///< From then on the caller may give up at any time.
+    std::optional<placement> place_;
+    /// When a backend server of its service that asked for backoff returns.
+    std::optional<time_point> backoff_end_;
+    /// When capacity may have become free by time alone. Set for the first request of
+    /// each service; the others follow it.
+    std::optional<time_point> retry_at_;
+    unique_fd wake_;
+};
+
+} // namespace pistachiopost
--- a/source/process/placement/load_tracker.cpp
+++ b/source/process/placement/load_tracker.cpp
@@ -232,6 +232,23 @@
     return list;
 }
 
+std::optional<time_point> load_tracker::next_expiry(time_point now) const
+{
+    std::optional<time_point> first;
+    for (const auto* reports : {&peers_, &digests_})
+    {
+        for (const auto& [name, it] : *reports)
+        {
+            const auto end = it.received_at + peer_timeout;
+            if (end > now && (!first || end < *first))
+            {
+                first = end;
+            }
+        }
+    }
+    return first;
+}
+
 bool load_tracker::has_digest(std::string_view zone, time_point now) const
 {
     const auto it = digests_.find(zone);
--- a/source/process/placement/load_tracker.hpp
+++ b/source/process/placement/load_tracker.hpp
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -91,6 +92,9 @@
     /// Returns the hashes of the names of live peers that wait for the same.
     [[nodiscard]] std::vector<std::uint64_t> rivals(const waiting_work& work,
                                                     time_point now) const;
+    /// Returns when the first report that is still valid expires; nothing without
+    /// reports.
+    [[nodiscard]] std::optional<time_point> next_expiry(time_point now) const;
     /// Returns the number of turns since the reported load of a backend server changed.
     /// It is about the same at all gateways that receive the same reports.
     [[nodiscard]] std::uint64_t turn(std::string_view backend, time_point now) const;
--- a/tests/process/dispatcher_test.cpp
+++ b/tests/process/dispatcher_test.cpp
@@ -208,3 +208,73 @@
     cr_assert_eq(*it.dispatch.unavailable_until("plain", start), start + seconds{2});
     cr_assert_not(it.dispatch.unavailable_until("plain", start + seconds{2}).has_value());
 }
+
+namespace {
+
+/// A dispatcher that hears one report of each of five peers, which are silent afterwards.
+struct silent_peers_fixture : dispatcher_fixture
+{
+    explicit silent_peers_fixture(const load_report_message& report,
+                                  const std::string& name = "self")
+        : subject("z", name)
+    {
+        const backend_record record{"i-1", "plain", {"10.0.0.1", 80}, "z", 1, false, 1};
+        subject.update_registry(start, [&](auto& it) { it.upsert(record, start); });
+        for (const auto* peer : {"g-1", "g-2", "g-3", "g-4", "g-5"})
+        {
+            auto message = report;
+            message.gateway = peer;
+            message.boot = 1;
+            message.sequence = 1;
+            subject.apply_report(message, start);
+        }
+    }
+
+    /// Returns when the request is placed if nothing but its recheck times wakes it.
+    std::optional<time_point> placed_at(queued_request& queued)
+    {
+        auto now = start;
+        bool placed = subject.serve(queued, now);
+        while (!placed && now <= start + seconds{5})
+        {
+            now = subject.recheck_time(queued);
+            placed = now < time_point::max() && subject.serve(queued, now);
+        }
+        subject.dequeue(queued, now);
+        return placed ? std::optional(now) : std::nullopt;
+    }
+
+    dispatcher subject;
+};
+
+} // namespace
+
+// Guards against requests that wait beside free slots until they are rejected, since
+// the rivals to which they yield have fallen silent and nothing wakes the queue.
+Test(dispatcher, request_that_yields_to_silent_rivals_is_placed_without_another_event)
+{
+    load_report_message report;
+    report.waiting = {{"plain", false}};
+    std::size_t yielding = 0;
+    for (int i = 0; i < 20; ++i)
+    {
+        silent_peers_fixture it(report, "self-" + std::to_string(i));
+        auto queued = it.make_request("bob");
+        it.subject.enqueue(queued, start);
+        const auto placed = it.placed_at(queued);
+        cr_assert(placed && *placed <= start + seconds{1}, "the reports expire by then");
+        yielding += *placed > start ? 1 : 0;
+    }
+    cr_assert_gt(yielding, 10U, "most gateways are not the first of six");
+}
+
+// Guards against a queue that is not served when the load of a silent peer expires.
+Test(dispatcher, slot_of_a_silent_peer_is_taken_when_its_report_expires)
+{
+    load_report_message report;
+    report.loads.push_back({"i-1", {1, 0, 0, 0, 0}});
+    silent_peers_fixture it(report);
+    auto queued = it.make_request("bob");
+    it.subject.enqueue(queued, start);
+    cr_assert_eq(it.placed_at(queued), start + seconds{1});
+}
