Admission by forecast: no start in vain, rejection when the forecast turns

Cause: a queued request was rejected after 0.7 of its caller's time, whatever was known, and long prompts were started that could not end in time.

A request is not started if its answer would come too late, and is rejected once it would even on idle engines, or if the forecast start misses the latest one by more than the measured deviation of such forecasts; without a known deviation only what is certain is rejected.

--- a/source/connection/load_report_codec.cpp
+++ b/source/connection/load_report_codec.cpp
@@ -71,7 +71,8 @@
 
 json encode_waiting(const waiting_work& it)
 {
-    return json::array({it.service, it.long_prefill});
+    return json::array({it.service, it.long_prefill, it.priority,
+                        static_cast<std::uint32_t>(it.prefill_ms)});
 }
 
 json encode_status(const store_status& status)
@@ -158,6 +159,19 @@
     return it;
 }
 
+/// Reads a kind of waiting requests. Gateways of earlier versions send only the first two
+/// fields.
+waiting_work read_waiting(const json& from)
+{
+    waiting_work it{from.at(0), from.at(1)};
+    if (from.size() > 3)
+    {
+        it.priority = read_count32(from.at(2));
+        it.prefill_ms = static_cast<double>(read_count32(from.at(3)));
+    }
+    return it;
+}
+
 backend_load read_load(const json& from)
 {
     return {read_count32(from.at(1)), read_count32(from.at(2)), read_count(from.at(3)),
@@ -204,7 +218,7 @@
         }
         for (const auto& one : body.at(10))
         {
-            it.waiting.push_back({one.at(0), one.at(1)});
+            it.waiting.push_back(read_waiting(one));
         }
         return it;
     }
--- a/source/process/admission/dispatcher.cpp
+++ b/source/process/admission/dispatcher.cpp
@@ -68,10 +68,16 @@
     return queued.recheck_time();
 }
 
+std::optional<rejection_reason> dispatcher::rejection(const queued_request& queued) const
+{
+    const std::lock_guard lock(mutex_);
+    return queued.rejected_;
+}
+
 bool dispatcher::serve(queued_request& queued, time_point now)
 {
     const std::lock_guard lock(mutex_);
-    if (!queued.place_ && queued.recheck_time() <= now)
+    if (!queued.place_ && !queued.rejected_ && queued.recheck_time() <= now)
     {
         serve_queue(now);
     }
@@ -88,6 +94,19 @@
     return std::move(queued.place_);
 }
 
+void dispatcher::first_event(const placement& place, time_point now)
+{
+    {
+        const std::lock_guard lock(mutex_);
+        const bool is_long = place.main.work.short_requests == 0;
+        const std::chrono::duration<double, std::milli> forecast(place.first_event_ms);
+        run_errors_[{place.main.backend.service, is_long}].add(
+            now - place.granted_at -
+            std::chrono::duration_cast<steady::duration>(forecast));
+    }
+    prefill_done(place, now);
+}
+
 void dispatcher::prefill_done(const placement& place, time_point now)
 {
     const std::lock_guard lock(mutex_);
@@ -258,12 +277,19 @@
     std::vector<waiting_work> kinds;
     for (const auto* it : queue_)
     {
-        const waiting_work one{std::string(it->request_->service),
-                               is_long_prefill(*it->request_)};
-        if (std::find(kinds.begin(), kinds.end(), one) == kinds.end())
+        const auto& request = *it->request_;
+        const waiting_work one{std::string(request.service), is_long_prefill(request),
+                               request.priority};
+        auto known = std::find_if(kinds.begin(), kinds.end(), [&](const auto& kind) {
+            return kind.same_kind(one) && kind.priority == one.priority;
+        });
+        if (known == kinds.end())
         {
-            kinds.push_back(one);
+            known = kinds.insert(kinds.end(), one);
         }
+        known->prefill_ms += request.engine == nullptr
+                                 ? 0
+                                 : request.engine->prefill_ms(request.prompt_tokens);
     }
     return kinds;
 }
@@ -339,8 +365,9 @@
     });
 }
 
-void dispatcher::charge(std::string_view customer, const placement& place, time_point now)
+void dispatcher::charge(std::string_view customer, placement& place, time_point now)
 {
+    place.granted_at = now;
     ++load_generation_;
     ++unreported_placements_[place.main.backend.id];
     loads_.add(place.main.backend.id, place.main.work, now);
--- a/source/process/admission/dispatcher.hpp
+++ b/source/process/admission/dispatcher.hpp
@@ -17,6 +17,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace pistachiopost {
 
@@ -61,9 +62,16 @@
             signal_event_fd(it->wake_);
         }
     }
+    /// Returns why a request was removed from the queue: it would not be answered in
+    /// time.
+    [[nodiscard]] std::optional<rejection_reason>
+    rejection(const queued_request& queued) const;
     /// Removes a request from the queue; returns its placement if it got one.
     std::optional<placement> dequeue(queued_request& queued, time_point now);
-    /// Records that the first event of this attempt has arrived.
+    /// Records that the first event of this attempt has arrived, and how much later than
+    /// forecast.
+    void first_event(const placement& place, time_point now);
+    /// Records that the prefill of this attempt has ended, by its first event or not.
     void prefill_done(const placement& place, time_point now);
     /// Releases a placement; prefill_done() must have been called for it.
     void release(const placement& place, time_point now);
@@ -117,6 +125,8 @@
     using candidate_cache =
         std::map<std::string_view, std::vector<placement_candidate>, std::less<>>;
 
+    using forecast_map = std::map<std::string_view, long_queue_forecast>;
+
     [[nodiscard]] std::vector<waiting_work> waiting_kinds() const;
     /// Marks the slots that other waiting gateways may take first as taken. Returns
     /// whether this gateway may take anything.
@@ -130,8 +140,15 @@
     std::optional<placement> find_placement(const placement_request& request,
                                             steady::duration waited,
                                             candidate_cache& cache, time_point now);
-    void charge(std::string_view customer, const placement& place, time_point now);
+    void charge(std::string_view customer, placement& place, time_point now);
     void serve_queue(time_point now);
+    [[nodiscard]] steady::duration start_delay(const queued_request& queued) const;
+    [[nodiscard]] bool is_in_vain(const queued_request& queued, const placement& place,
+                                  time_point now) const;
+    std::optional<rejection_reason> find_rejection(queued_request& queued,
+                                                   candidate_cache& cache,
+                                                   forecast_map& forecasts,
+                                                   time_point now);
     [[nodiscard]] std::optional<time_point> outage_end(std::string_view service,
                                                        time_point now) const;
     /// Returns when the service may have capacity for a queued request without any event:
@@ -161,6 +178,10 @@
     load_tracker loads_;
     std::list<queued_request*> queue_;
     customer_costs served_cost_;
+    /// Of the waits of long prompts, by service.
+    std::map<std::string, forecast_error, std::less<>> wait_errors_;
+    /// Of the times to the first event, by service and whether the prefill is long.
+    std::map<std::pair<std::string, bool>, forecast_error> run_errors_;
 };
 
 } // namespace pistachiopost
--- a/source/process/admission/placement_guard.hpp
+++ b/source/process/admission/placement_guard.hpp
@@ -20,7 +20,10 @@
     placement_guard& operator=(const placement_guard&) = delete;
     ~placement_guard()
     {
-        prefill_done();
+        if (!prefill_done_)
+        {
+            dispatch_.prefill_done(placement_, steady::now());
+        }
         dispatch_.release(placement_, steady::now());
     }
 
@@ -29,7 +32,7 @@
     {
         if (!std::exchange(prefill_done_, true))
         {
-            dispatch_.prefill_done(placement_, steady::now());
+            dispatch_.first_event(placement_, steady::now());
         }
     }
 
--- a/source/process/admission/placement_wait.cpp
+++ b/source/process/admission/placement_wait.cpp
@@ -9,47 +9,45 @@
 
 namespace {
 
-// Shares of a caller's timeout after which a queued request becomes urgent, and after
-// which it is refused, so that the caller can retry within its deadline.
-constexpr double urgent_wait_share = 0.2;
-constexpr double max_wait_share = 0.7;
 // A stream that broke off may wait this long for its continuation: callers abort it two
 // seconds after its last event at the earliest.
 constexpr milliseconds max_continuation_wait{1'000};
 
-/// Returns until when a request that is queued at `now` waits for its placement.
-time_point wait_limit(const forward_context& run, time_point now)
+/// Returns by when a request that is queued at `now` needs its answer.
+caller_deadlines queue_deadlines(const forward_context& run, time_point now)
 {
-    auto limit = run.arrived + queue_timeouts_for(run.call.matched_route).max_wait;
+    auto it = deadlines_for(run.call.matched_route, run.arrived, run.call.until);
     if (run.call.response.begun())
     {
-        limit = std::max(limit, now + max_continuation_wait);
+        it.begun = true;
+        it.first_event = std::min(std::max(it.first_event, now + max_continuation_wait),
+                                  run.call.until);
     }
-    return std::min(limit, run.call.until);
+    return it;
 }
 
 std::optional<placement> wait_for_placement(gateway_state& state, forward_context& run,
                                             const placement_request& wanted)
 {
-    const auto timeouts = queue_timeouts_for(run.call.matched_route);
-    const auto wait_deadline = wait_limit(run, steady::now());
+    const auto deadlines = queue_deadlines(run, steady::now());
     queued_request queued(run.customer, wanted, run.arrived,
-                          run.arrived + run.call.matched_route.latency_target,
-                          run.arrived + timeouts.urgent_after);
+                          run.arrived + run.call.matched_route.latency_target, deadlines);
     state.dispatch.enqueue(queued, steady::now());
     int caller = run.call.caller.fd();
     for (;;)
     {
         const auto back = state.dispatch.unavailable_until(wanted.service, steady::now());
         const bool closed = state.queue_closed;
-        const bool in_vain = closed || (back && *back >= wait_deadline);
-        const auto until = std::min(wait_deadline, state.dispatch.recheck_time(queued));
+        const bool in_vain = closed || (back && *back >= deadlines.first_event);
+        const auto until = state.dispatch.recheck_time(queued);
         const auto woken = in_vain ? wake_cause::timeout
                                    : wait_readable(queued.wake().get(), caller, until);
         if (woken != wake_cause::second)
         {
             const auto now = steady::now();
-            if (!in_vain && now < wait_deadline && !state.dispatch.serve(queued, now))
+            const bool placed = !in_vain && state.dispatch.serve(queued, now);
+            const auto rejection = state.dispatch.rejection(queued);
+            if (!in_vain && !placed && !rejection)
             {
                 continue;
             }
@@ -58,12 +56,13 @@
             {
                 run.out_of_time = !in_vain;
                 run.last_error =
-                    closed ? "the gateway stops"
-                    : in_vain
-                        ? "all backend servers asked for backoff until later"
-                        : "no placement at a backend server within the queue timeout";
-                log_no_placement(run, wanted,
-                                 state.dispatch.snapshot(wanted.service, steady::now()));
+                    closed    ? "the gateway stops"
+                    : in_vain ? "all backend servers asked for backoff until later"
+                              : "no placement from which an answer would be in time";
+                state.metrics.increment(in_vain ? "rejected_unavailable"
+                                                : "rejected_by_forecast");
+                log_no_placement(run, wanted, rejection.value_or(rejection_reason()),
+                                 state.dispatch.snapshot(wanted.service, now));
             }
             return place;
         }
@@ -82,11 +81,16 @@
 
 } // namespace
 
-queue_timeouts queue_timeouts_for(const route& matched_route)
+caller_deadlines deadlines_for(const route& matched_route, time_point arrived,
+                               time_point until)
 {
-    const auto timeout_ms = static_cast<double>(matched_route.caller_timeout().count());
-    return {milliseconds{static_cast<milliseconds::rep>(timeout_ms * urgent_wait_share)},
-            milliseconds{static_cast<milliseconds::rep>(timeout_ms * max_wait_share)}};
+    // A call that just meets its target takes that long from its start. The rest of the
+    // timeout is for waiting, at least half of it.
+    const auto timeout = matched_route.caller_timeout();
+    const bool is_stream = matched_route.kind == call_kind::stream;
+    const auto reserved =
+        is_stream ? milliseconds{0} : std::min(matched_route.latency_target, timeout / 2);
+    return {std::min(arrived + timeout, until) - reserved, until};
 }
 
 std::unique_ptr<placement_guard> acquire_placement(gateway_state& state,
--- a/source/process/admission/placement_wait.hpp
+++ b/source/process/admission/placement_wait.hpp
@@ -10,18 +10,13 @@
 
 namespace pistachiopost {
 
-/// Limits on the time that a request spends in the queue.
-struct queue_timeouts
-{
-    milliseconds urgent_after; ///< From then on it takes precedence over late requests.
-    milliseconds max_wait;     ///< After this it is refused.
-};
-
-/// Returns the queue timeouts for requests of a route.
-queue_timeouts queue_timeouts_for(const route& matched_route);
+/// Returns by when a request of this route that arrived at `arrived` and has to be
+/// complete at `until` needs its answer.
+caller_deadlines deadlines_for(const route& matched_route, time_point arrived,
+                               time_point until);
 
 /// Waits for a placement on the task of the request; null if the caller disconnected, the
-/// wait timed out or the process is out of descriptors.
+/// request was rejected or the process is out of descriptors.
 std::unique_ptr<placement_guard> acquire_placement(gateway_state& state,
                                                    forward_context& run,
                                                    const placement_request& wanted);
--- a/source/process/forward_log.cpp
+++ b/source/process/forward_log.cpp
@@ -49,11 +49,14 @@
 }
 
 void log_no_placement(const forward_context& run, const placement_request& wanted,
-                      const queue_snapshot& queue)
+                      const rejection_reason& reason, const queue_snapshot& queue)
 {
     log_event(log_level::info, "no place in time",
               {{"request", run.call.request.id},
                {"prompt_tokens", wanted.prompt_tokens},
+               {"forecast_wait_ms", to_ms(reason.start)},
+               {"latest_wait_ms", to_ms(reason.latest)},
+               {"forecast_error_ms", to_ms(reason.error)},
                {"waiting", to_count(queue.waiting)},
                {"backends", to_count(queue.backends)},
                {"trusted", to_count(queue.healthy)},
--- a/source/process/forward_log.hpp
+++ b/source/process/forward_log.hpp
@@ -14,7 +14,7 @@
                         const attempt_result& result);
 /// Logs a request that got no placement in time.
 void log_no_placement(const forward_context& run, const placement_request& wanted,
-                      const queue_snapshot& queue);
+                      const rejection_reason& reason, const queue_snapshot& queue);
 /// Logs the final outcome of a request.
 void log_request_ended(const forward_context& run, std::string_view outcome,
                        time_point now);
--- a/source/process/placement/load_tracker.cpp
+++ b/source/process/placement/load_tracker.cpp
@@ -223,7 +223,8 @@
     for (const auto& [gateway, it] : peers_)
     {
         const bool waits =
-            std::find(it.waiting.begin(), it.waiting.end(), work) != it.waiting.end();
+            std::any_of(it.waiting.begin(), it.waiting.end(),
+                        [&](const waiting_work& one) { return one.same_kind(work); });
         if (waits && now - it.received_at < peer_timeout)
         {
             list.push_back(contention_hash(gateway));
@@ -232,6 +233,25 @@
     return list;
 }
 
+double load_tracker::waiting_prefill_ms(std::string_view service, std::uint32_t priority,
+                                        time_point now) const
+{
+    constexpr double equal_share = 0.5; // gateways take turns
+    double sum = 0;
+    for (const auto& [gateway, it] : peers_)
+    {
+        for (const auto& one : it.waiting)
+        {
+            if (one.service == service && one.long_prefill && one.priority <= priority &&
+                now - it.received_at < peer_timeout)
+            {
+                sum += one.prefill_ms * (one.priority < priority ? 1 : equal_share);
+            }
+        }
+    }
+    return sum;
+}
+
 std::optional<time_point> load_tracker::next_expiry(time_point now) const
 {
     std::optional<time_point> first;
--- a/source/process/placement/load_tracker.hpp
+++ b/source/process/placement/load_tracker.hpp
@@ -44,7 +44,13 @@
 {
     std::string service;
     bool long_prefill = false;
+    std::uint32_t priority = 0;
+    double prefill_ms = 0; ///< On one engine, of all these requests together.
 
+    [[nodiscard]] bool same_kind(const waiting_work& other) const
+    {
+        return service == other.service && long_prefill == other.long_prefill;
+    }
     bool operator==(const waiting_work&) const = default;
 };
 
@@ -92,6 +98,10 @@
     /// Returns the hashes of the names of live peers that wait for the same.
     [[nodiscard]] std::vector<std::uint64_t> rivals(const waiting_work& work,
                                                     time_point now) const;
+    /// Returns the prefill time of the long prompts waiting at live peers that go before
+    /// one of this priority: all more urgent ones and half of the equally urgent ones.
+    [[nodiscard]] double waiting_prefill_ms(std::string_view service,
+                                            std::uint32_t priority, time_point now) const;
     /// Returns when the first report that is still valid expires; nothing without
     /// reports.
     [[nodiscard]] std::optional<time_point> next_expiry(time_point now) const;
--- a/source/process/placement/placement.hpp
+++ b/source/process/placement/placement.hpp
@@ -50,6 +50,7 @@
     placement_part main;
     std::vector<placement_part> helpers; ///< Prefill or hold memory for the prompt.
     double first_event_ms = 0;           ///< Expected time to the first event.
+    time_point granted_at{};             ///< When its load was counted.
     std::size_t long_pool = 0; ///< Size of the pool for long prompts at that time.
 };
 
--- a/tests/connection/peer_link_test.cpp
+++ b/tests/connection/peer_link_test.cpp
@@ -208,6 +208,21 @@
     cr_assert(decode_load_report(encode_load_report(message)).crashes == message.crashes);
 }
 
+// Guards against gateways that do not understand each other while versions are mixed.
+Test(peer_link, waiting_work_of_an_earlier_version_is_read)
+{
+    load_report_message message;
+    message.waiting = {{"model", true, 2, 1'500}};
+    const auto bytes = encode_load_report(message);
+    cr_assert(decode_load_report(bytes).waiting == message.waiting);
+    auto body = nlohmann::json::from_msgpack(bytes);
+    body[10] = nlohmann::json::array({nlohmann::json::array({"model", true})});
+    const auto earlier = nlohmann::json::to_msgpack(body);
+    const std::vector<waiting_work> expected{{"model", true, 0, 0}};
+    cr_assert(decode_load_report(std::string(earlier.begin(), earlier.end())).waiting ==
+              expected);
+}
+
 Test(peer_link, malformed_report_of_crashes_is_rejected)
 {
     const auto is_rejected = [](const nlohmann::json& crashes) {
--- a/tests/model/overload_test.cpp
+++ b/tests/model/overload_test.cpp
@@ -48,3 +48,17 @@
     const auto scene = burst_scene(1);
     cr_assert_eq(total_of(play(scene)).total(), make_calls(scene).size());
 }
+
+// Guards against engine time that is lost to prompts whose callers leave before the end
+// (366 s of 89 long prompts before admission by forecast), and against prompts that are
+// held and then rejected (0.21 of all worth before; the bound is that of the deployment).
+Test(overload, long_prompts_that_cannot_end_in_time_are_rejected_early)
+{
+    for (const std::uint64_t seed : {1, 2, 3})
+    {
+        const auto result = play(burst_scene(seed));
+        cr_assert_eq(result.futile_starts, 0U);
+        cr_assert_leq(result.held_share(), 0.03);
+        cr_assert_gt(result.kinds.back().usual.count(call_outcome::rejected_at_once), 0U);
+    }
+}
