--- a/source/process/admission/admission_forecast.cpp
+++ b/source/process/admission/admission_forecast.cpp
@@ -49,7 +49,8 @@
     {
         return {};
     }
-    const auto parts = std::clamp<std::size_t>(engines, 1, max_reading_engines);
+    const auto parts =
+        engines == 0 ? max_reading_engines : std::min(engines, max_reading_engines);
     return forecast_from(request, request.engine->prefill_ms(request.prompt_tokens) /
                                       static_cast<double>(parts));
 }
--- a/source/process/admission/admission_forecast.hpp
+++ b/source/process/admission/admission_forecast.hpp
@@ -33,7 +33,8 @@
 run_forecast forecast_run(const placement_request& request, const placement& place);
 
 /// Returns the shortest possible course, on idle engines that all prefill an equal part.
-/// Nothing is known of a plain service: its calls may take no time.
+/// Nothing is known of a plain service: its calls may take no time. Without any of the
+/// `engines` as many as a prompt can use may return.
 run_forecast forecast_best_run(const placement_request& request, std::size_t engines);
 
 /// Returns until when a request must start to meet its deadlines, if its first event
--- a/source/process/admission/dispatcher.cpp
+++ b/source/process/admission/dispatcher.cpp
@@ -60,6 +60,10 @@
     queue_.push_back(&queued);
     ++load_generation_;
     serve_queue(now);
+    if (!queued.place_ && !queued.rejected_)
+    {
+        clear_event_fd(queued.wake_); // its task reads the recheck time next
+    }
 }
 
 time_point dispatcher::recheck_time(const queued_request& queued) const
@@ -350,6 +354,12 @@
                                                     time_point now)
 {
     auto candidates = candidates_for(request.service, cache, now);
+    if (request.regions)
+    {
+        std::erase_if(candidates, [&](const auto& it) {
+            return !allows_zone(request, it.backend->zone);
+        });
+    }
     if (!yield_to_rivals(request, candidates, now))
     {
         return std::nullopt;
--- a/source/process/admission/dispatcher_queue.cpp
+++ b/source/process/admission/dispatcher_queue.cpp
@@ -175,37 +175,4 @@
                     : expiry;
 }
 
-void dispatcher::update_recheck_times(candidate_cache& cache, time_point now)
-{
-    std::map<std::string_view, std::optional<time_point>> ends;
-    for (auto* it : queue_)
-    {
-        const auto service = it->request_->service;
-        const auto [entry, is_first] = ends.try_emplace(service);
-        const auto before = it->recheck_time();
-        bool changed = false;
-        if (is_first)
-        {
-            entry->second = registry_.next_backoff_end(service, now);
-            if (!it->retry_at_ || *it->retry_at_ <= now)
-            {
-                it->retry_at_ = next_free_by_time(service, cache, now);
-            }
-        }
-        else
-        {
-            it->retry_at_.reset();
-        }
-        if (it->backoff_end_ != entry->second)
-        {
-            it->backoff_end_ = entry->second;
-            changed = true;
-        }
-        if (changed || it->recheck_time() < before)
-        {
-            signal_event_fd(it->wake_);
-        }
-    }
-}
-
 } // namespace pistachiopost
--- a/source/process/admission/placement_wait.cpp
+++ b/source/process/admission/placement_wait.cpp
@@ -1,8 +1,13 @@
 #include "process/admission/placement_wait.hpp"
 
 #include "process/forward_log.hpp"
+#include "process/logging.hpp"
+
+#include <fmt/format.h>
+#include <fmt/ranges.h>
 
 #include <algorithm>
+#include <string>
 #include <utility>
 
 namespace pistachiopost {
@@ -26,6 +31,29 @@
     return it;
 }
 
+/// Counts and logs a request that no backend server may serve.
+void record_exclusion(gateway_state& state, forward_context& run,
+                      const placement_request& wanted, const service_exclusion& cause)
+{
+    const auto regions = wanted.regions
+                             ? fmt::format("{}", fmt::join(*wanted.regions, ", "))
+                             : std::string("all");
+    const auto zones = fmt::format("{}", fmt::join(cause.evacuated_zones, ", "));
+    run.out_of_time = false;
+    run.last_error = cause.outside_regions
+                         ? "no backend server in the allowed regions: " + regions
+                         : "all backend servers are in evacuated zones: " + zones;
+    state.metrics.increment(cause.outside_regions ? "region_refusals"
+                                                  : "evacuation_refusals");
+    log_event(log_level::info,
+              cause.outside_regions ? "no backend server in the allowed regions"
+                                    : "no backend server outside the evacuated zones",
+              {{"request", run.call.request.id},
+               {"service", wanted.service},
+               {"regions", regions},
+               {"zones", zones}});
+}
+
 std::optional<placement> wait_for_placement(gateway_state& state, forward_context& run,
                                             const placement_request& wanted)
 {
@@ -38,7 +66,9 @@
     {
         const auto back = state.dispatch.unavailable_until(wanted.service, steady::now());
         const bool closed = state.queue_closed;
-        const bool in_vain = closed || (back && *back >= deadlines.first_event);
+        const auto exclusion = state.dispatch.exclusion_of(wanted);
+        const bool in_vain =
+            closed || exclusion || (back && *back >= deadlines.first_event);
         const auto until = state.dispatch.recheck_time(queued);
         const auto woken = in_vain ? wake_cause::timeout
                                    : wait_readable(queued.wake().get(), caller, until);
@@ -52,7 +82,11 @@
                 continue;
             }
             auto place = state.dispatch.dequeue(queued, now);
-            if (!place)
+            if (!place && !closed && exclusion)
+            {
+                record_exclusion(state, run, wanted, exclusion);
+            }
+            else if (!place)
             {
                 run.out_of_time = !in_vain;
                 run.last_error =
--- a/source/process/admission/queued_request.hpp
+++ b/source/process/admission/queued_request.hpp
@@ -56,6 +56,7 @@
     /// When capacity may have become free by time alone. Set for the first request of
     /// each service; the others follow it.
     std::optional<time_point> retry_at_;
+    bool excluded_ = false; ///< From all backend servers of its service.
     unique_fd wake_;
 };
 
