--- a/source/process/admission/dispatcher.hpp
+++ b/source/process/admission/dispatcher.hpp
@@ -3,9 +3,9 @@
 /// customers.
 #pragma once
 
-#include "connection/unique_fd.hpp"
 #include "process/admission/cold_admission.hpp"
 #include "process/admission/customer_costs.hpp"
+#include "process/admission/queued_request.hpp"
 #include "process/membership/backend_registry.hpp"
 #include "process/placement/load_tracker.hpp"
 #include "process/placement/placement.hpp"
@@ -18,40 +18,11 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace pistachiopost {
 
-/// A request that waits for its placement. Owned by the task of the request.
-class queued_request
-{
-public:
-    /// wake() becomes readable once the request has its placement, or when
-    /// dispatcher::recheck_time() changes.
-    queued_request(std::string_view customer, const placement_request& request,
-                   time_point arrived, time_point target_deadline,
-                   time_point urgent_from);
-
-    [[nodiscard]] const unique_fd& wake() const { return wake_; }
-
-private:
-    friend class dispatcher;
-
-    [[nodiscard]] steady::duration target() const { return target_deadline_ - arrived_; }
-
-    std::string_view customer_;
-    const placement_request* request_;
-    time_point arrived_;
-    time_point target_deadline_; ///< Latency target; later answers are late.
-    time_point urgent_from_;     ///< From then on the caller may give up at any time.
-    std::optional<placement> place_;
-    /// When a backend server of its service that asked for backoff returns, or allowance
-    /// for a cold one.
-    std::optional<time_point> recheck_at_;
-    bool excluded_ = false; ///< From all backend servers of its service.
-    unique_fd wake_;
-};
-
 /// State of the queue and of a service's backend servers, for the log.
 struct queue_snapshot
 {
@@ -111,9 +82,16 @@
             signal_event_fd(it->wake_);
         }
     }
+    /// Returns why a request was removed from the queue: it would not be answered in
+    /// time.
+    [[nodiscard]] std::optional<rejection_reason>
+    rejection(const queued_request& queued) const;
     /// Removes a request from the queue; returns its placement if it got one.
     std::optional<placement> dequeue(queued_request& queued, time_point now);
-    /// Records that the first event of this attempt has arrived.
+    /// Records that the first event of this attempt has arrived, and how much later than
+    /// forecast.
+    void first_event(const placement& place, time_point now);
+    /// Records that the prefill of this attempt has ended, by its first event or not.
     void prefill_done(const placement& place, time_point now);
     /// Releases a placement; prefill_done() must have been called for it.
     void release(const placement& place, time_point now);
@@ -195,6 +173,8 @@
     using candidate_cache =
         std::map<std::string_view, std::vector<placement_candidate>, std::less<>>;
 
+    using forecast_map = std::map<std::string_view, long_queue_forecast>;
+
     /// Returns whether a request may be served in an availability zone.
     [[nodiscard]] bool allows_zone(const placement_request& request,
                                    std::string_view zone) const;
@@ -217,11 +197,24 @@
                                             candidate_cache& cache, time_point now);
     void charge(std::string_view customer, placement& place, time_point now);
     void serve_queue(time_point now);
+    [[nodiscard]] steady::duration start_delay(const queued_request& queued) const;
+    [[nodiscard]] bool is_in_vain(const queued_request& queued, const placement& place,
+                                  time_point now) const;
+    std::optional<rejection_reason> find_rejection(queued_request& queued,
+                                                   candidate_cache& cache,
+                                                   forecast_map& forecasts,
+                                                   time_point now);
     [[nodiscard]] std::optional<time_point> outage_end(std::string_view service,
                                                        time_point now) const;
-    /// Wakes the requests that wait for another end of a backoff than before, or whose
-    /// service has lost the last backend server that may serve them.
-    void update_recheck_times(time_point now);
+    /// Returns when the service may have capacity for a queued request without any event:
+    /// gateways take turns at free slots and prefill backlogs elapse, and the reports of
+    /// a gateway that fell silent expire.
+    std::optional<time_point> next_free_by_time(std::string_view service,
+                                                candidate_cache& cache, time_point now);
+    /// Wakes the requests that wait for another end of a backoff than before, whose
+    /// service has lost the last backend server that may serve them, or that have to look
+    /// after the queue earlier.
+    void update_recheck_times(candidate_cache& cache, time_point now);
     [[nodiscard]] double min_served_cost() const;
 
     mutable std::mutex mutex_;
@@ -243,6 +236,10 @@
     cold_admission cold_;
     std::list<queued_request*> queue_;
     customer_costs served_cost_;
+    /// Of the waits of long prompts, by service.
+    std::map<std::string, forecast_error, std::less<>> wait_errors_;
+    /// Of the times to the first event, by service and whether the prefill is long.
+    std::map<std::pair<std::string, bool>, forecast_error> run_errors_;
 };
 
 } // namespace pistachiopost
--- a/source/process/admission/dispatcher_exclusion.cpp
+++ b/source/process/admission/dispatcher_exclusion.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -68,29 +69,40 @@
     return registry_.evacuated_zones().size();
 }
 
-void dispatcher::update_recheck_times(time_point now)
+void dispatcher::update_recheck_times(candidate_cache& cache, time_point now)
 {
     recheck_times times(registry_, cold_, now);
     const bool has_evacuations = !registry_.evacuated_zones().empty();
+    std::set<std::string_view> services;
     std::map<std::string_view, std::vector<std::string>> zones_by_service;
     for (auto* it : queue_)
     {
-        const auto next = times.next(it->request_->service);
+        const auto service = it->request_->service;
+        const auto due_before = it->recheck_time();
+        if (!services.insert(service).second)
+        {
+            it->retry_at_.reset();
+        }
+        else if (!it->retry_at_ || *it->retry_at_ <= now)
+        {
+            it->retry_at_ = next_free_by_time(service, cache, now);
+        }
+        const auto backoff_end = times.next(service);
         bool excluded = false;
         if (has_evacuations || it->request_->regions)
         {
-            const auto [zones, is_new] =
-                zones_by_service.try_emplace(it->request_->service);
+            const auto [zones, is_new] = zones_by_service.try_emplace(service);
             if (is_new)
             {
-                zones->second = registry_.zones_of(it->request_->service);
+                zones->second = registry_.zones_of(service);
             }
             excluded = bool{find_exclusion(*it->request_, zones->second)};
         }
-        if (it->recheck_at_ != next || it->excluded_ != excluded)
+        const bool changed = it->backoff_end_ != backoff_end || it->excluded_ != excluded;
+        it->backoff_end_ = backoff_end;
+        it->excluded_ = excluded;
+        if (changed || it->recheck_time() < due_before)
         {
-            it->recheck_at_ = next;
-            it->excluded_ = excluded;
             signal_event_fd(it->wake_);
         }
     }
--- a/source/process/placement/placement.hpp
+++ b/source/process/placement/placement.hpp
@@ -52,6 +52,7 @@
     placement_part main;
     std::vector<placement_part> helpers; ///< Prefill or hold memory for the prompt.
     double first_event_ms = 0;           ///< Expected time to the first event.
+    time_point granted_at{};             ///< When its load was counted.
     std::size_t long_pool = 0; ///< Size of the pool for long prompts at that time.
     /// A request that uses a cold backend server must not be sent later.
     time_point send_by = time_point::max();
--- a/tests/process/cold_admission_test.cpp
+++ b/tests/process/cold_admission_test.cpp
@@ -63,7 +63,8 @@
 
     queued_request make_queued()
     {
-        return {"ann", request, start, start + seconds{1}, start + seconds{60}};
+        return {"ann", request, start, start + seconds{1},
+                caller_deadlines{time_point::max()}};
     }
 
     placement_request request;
--- a/tests/process/evacuation_test.cpp
+++ b/tests/process/evacuation_test.cpp
@@ -67,7 +67,7 @@
 
     queued_request make_request()
     {
-        return {"ann", request, start, start + seconds{1}, start + seconds{60}};
+        return {"ann", request, start, start + seconds{1}, {time_point::max()}};
     }
 
     static bool is_woken(const queued_request& it)
--- a/tests/process/residency_test.cpp
+++ b/tests/process/residency_test.cpp
@@ -125,7 +125,7 @@
     cr_assert_eq(it.place_all().size(), 3U);
     it.allow({"north"});
     queued_request queued("ann", it.request, start, start + seconds{1},
-                          start + seconds{60});
+                          {time_point::max()});
     it.dispatch.enqueue(queued, start);
     it.evacuate("b");
     cr_assert_not(residency_fixture::is_woken(queued));
@@ -141,7 +141,7 @@
     cr_assert_eq(here->main.backend.zone, "a");
     it.allow({"north"});
     queued_request queued("ann", it.request, start, start + seconds{1},
-                          start + seconds{60});
+                          {time_point::max()});
     it.dispatch.enqueue(queued, start);
     cr_assert_not(residency_fixture::is_woken(queued));
     it.dispatch.release(*here, start);
