--- a/tests/model/overload_load.hpp
+++ b/tests/model/overload_load.hpp
@@ -1,6 +1,6 @@
 /// \file
 /// Load of a deployment in overload: kinds of prompts, bursts, lost engines, and callers
-/// that retry or leave. The figures are those of Bothy in docs/design/hard-load.md.
+/// that retry or leave. docs/design/hard-load.md has the figures.
 #pragma once
 
 #include "model/engine_model.hpp"
--- a/tests/process/cold_allowance_test.cpp
+++ b/tests/process/cold_allowance_test.cpp
@@ -11,14 +11,14 @@
 namespace {
 
 constexpr double rate = 28;
-constexpr cold_bound wingcount{1.5, 5};
+constexpr cold_bound typical_bound{1.5, 5};
 
 /// The allowance of a gateway that is the first in the table.
 struct allowance_fixture
 {
     allowance_fixture()
     {
-        allowance.set_bound(wingcount);
+        allowance.set_bound(typical_bound);
         allowance.set_predecessors({});
     }
 
@@ -83,7 +83,7 @@
 {
     allowance_fixture it;
     cold_allowance other("me", it.start - seconds{60});
-    other.set_bound(wingcount);
+    other.set_bound(typical_bound);
     cr_assert_not(other.may_send("i-1", rate, it.start));
     cr_assert_not(other.next_allowed("i-1", rate, it.start).has_value());
 }
@@ -94,7 +94,7 @@
 {
     allowance_fixture it;
     cold_allowance restarted("me", it.start);
-    restarted.set_bound(wingcount);
+    restarted.set_bound(typical_bound);
     restarted.set_predecessors({});
     const auto end = it.start + cold_slot_interval;
     cr_assert_not(restarted.may_send("i-1", rate, end - milliseconds{1}));
