--- a/tests/process/cold_fleet_test.cpp
+++ b/tests/process/cold_fleet_test.cpp
@@ -16,7 +16,7 @@
 namespace {
 
 constexpr double rate = 28;
-constexpr cold_bound wingcount{1.5, 5};
+constexpr cold_bound typical_bound{1.5, 5};
 constexpr std::uint32_t bound = 47; // 28 * 1.5 + 5
 constexpr milliseconds longest_transit{90};
 // A process that starts later than this long after its predecessor has ended.
@@ -55,7 +55,7 @@
     void start(time_point now)
     {
         process = cold_allowance(name, to_own_clock(now));
-        process.set_bound(wingcount);
+        process.set_bound(typical_bound);
     }
     /// Reads the table; the knowledge stays as it is from then on.
     void read(const gateways_table& table)
