Revert "Long prompts leave idle engines of the other pool to short prompts"

Suspected: the pool of a cell holds few engines, and the largest prompts may not leave it although they need more engines at once than it has free.

--- a/source/process/placement/placement.cpp
+++ b/source/process/placement/placement.cpp
@@ -59,16 +59,6 @@
     return list;
 }
 
-/// Returns whether a pool holds a prompt in half of its memory. Then the prompt waits for
-/// the pool: on idle engines outside, the next short prompts, which are worth more for
-/// the same engine time, would wait behind its prefill.
-bool fits_pool(const placement_request& request, std::size_t engines)
-{
-    constexpr std::uint64_t max_memory_divisor = 2; // others use the pool, too
-    return request.prompt_tokens + request.output_tokens <=
-           request.engine->memory_tokens * engines / max_memory_divisor;
-}
-
 /// Places a prompt on `all` engines, the first `pool` of which are for long prompts.
 std::optional<placement> place_prompt(const placement_request& request,
                                       std::span<const placement_candidate> all,
@@ -82,9 +72,7 @@
         return result ? result : place_in_pool(request, long_pool, zone);
     }
     auto result = place_in_pool(request, long_pool, zone);
-    return result || fits_pool(request, pool)
-               ? result
-               : place_in_pool(request, engines_not_decoding(all), zone);
+    return result ? result : place_in_pool(request, engines_not_decoding(all), zone);
 }
 
 } // namespace
--- a/tests/process/placement_test.cpp
+++ b/tests/process/placement_test.cpp
@@ -207,31 +207,6 @@
         pistachiopost::place(it.request(133'000), it.engines, "near").has_value());
 }
 
-// Guards against short prompts that wait behind a long prefill on engines that were idle
-// shortly before.
-Test(placement, long_prompt_leaves_idle_engines_of_the_other_pool_to_short_prompts)
-{
-    placement_fixture it;
-    for (std::size_t i = 7; i < 13; ++i)
-    {
-        it.engines[i].load = {16, 16, 80'000, 0, 0};
-    }
-    cr_assert_eq(long_pool_size(it.engines), 7U);
-    for (std::size_t i = 0; i < 7; ++i)
-    {
-        it.engines[i].load.prefill_ms = 500;
-    }
-    const auto waiting = pistachiopost::place(it.request(60'000), it.engines, "near");
-    cr_assert_not(waiting.has_value());
-    it.engines[2].load.prefill_ms = 0;
-    it.engines[4].load.prefill_ms = 0;
-    const auto place = pistachiopost::place(it.request(60'000), it.engines, "near");
-    cr_assert(place.has_value());
-    cr_assert_eq(place->main.backend.id, "i-2");
-    cr_assert_eq(place->helpers.size(), 1U);
-    cr_assert_eq(place->helpers.front().backend.id, "i-4");
-}
-
 Test(placement, backend_server_that_failed_the_request_is_excluded)
 {
     const placement_fixture it;
