--- a/review/common-2/bench.py
+++ b/review/common-2/bench.py
@@ -40,10 +40,11 @@
 
 
 class Store:
-    """The platform's store: tables of rows with one version counter, and a feed."""
+    """The platform's store: tables of rows with one version counter, and a feed of the
+    changes to a table in all its parts."""
 
     def __init__(self):
-        self.rows = {}  # (table, key) -> (value as base64 or None if removed, version)
+        self.rows = {}  # (table, part, key) -> (value as base64 or None if removed, version)
         self.version = 1
         self.changed = threading.Condition()
         store = self
@@ -67,7 +68,8 @@
                 url = urllib.parse.urlsplit(self.path)
                 query = dict(urllib.parse.parse_qsl(url.query))
                 if url.path == "/v1/rows-get":
-                    self.reply(200, store.get(query["table"], query.get("from", "")))
+                    self.reply(200, store.get(query["table"], query.get("part", ""),
+                                              query.get("from", "")))
                 elif url.path == "/v1/rows-feed":
                     self.reply(200, store.feed(query["table"], int(query["since-rev"]),
                                                int(query.get("wait-ms", 0)) / 1000))
@@ -77,7 +79,7 @@
             def do_POST(self):
                 body = json.loads(self.rfile.read(int(self.headers["Content-Length"])))
                 for it in body["writes"]:
-                    store.put(it["table"], it["key"], it["value"])
+                    store.put(it["table"], it["key"], it["value"], it["part"])
                 self.reply(200, {"ver": store.version, "now-ms": store.now_ms()})
 
         class Server(socketserver.ThreadingTCPServer):
@@ -94,15 +96,15 @@
     def now_ms(self):
         return int(time.monotonic() * 1000)
 
-    def put(self, table, key, value):
+    def put(self, table, key, value, part=""):
         with self.changed:
             self.version += 1
-            self.rows[(table, key)] = (value, self.version)
+            self.rows[(table, part, key)] = (value, self.version)
             self.changed.notify_all()
 
-    def write(self, table, key, document):
+    def write(self, table, key, document, part=""):
         text = json.dumps(document).encode()
-        self.put(table, key, base64.b64encode(text).decode())
+        self.put(table, key, base64.b64encode(text).decode(), part)
 
     def remove(self, table, key):
         self.put(table, key, None)
@@ -110,7 +112,7 @@
     def beat(self, key, document):
         """A server reports itself: its entry changes if more than `sequence` differs."""
         with self.changed:
-            value, _ = self.rows.get(("servers", key), (None, 0))
+            value, _ = self.rows.get(("servers", "", key), (None, 0))
         try:
             known = json.loads(base64.b64decode(value)) if value else {}
             if {**known, "sequence": 0} == {**document, "sequence": 0}:
@@ -119,16 +121,16 @@
             pass  # bytes of another writer
         self.write("servers", key, document)
 
-    def row(self, table, key):
-        value, version = self.rows[(table, key)]
-        row = {"table": table, "part": "", "key": key, "ver": version}
+    def row(self, name):
+        value, version = self.rows[name]
+        row = dict(zip(("table", "part", "key"), name), ver=version)
         row.update({"deleted": True} if value is None else {"value": value})
         return row
 
-    def get(self, table, first):
+    def get(self, table, part, first):
         with self.changed:
-            keys = sorted(k for t, k in self.rows if t == table and k >= first)
-            rows = [self.row(table, k) for k in keys if self.rows[(table, k)][0] is not None]
+            names = sorted(it for it in self.rows if it[:2] == (table, part) and it[2] >= first)
+            rows = [self.row(it) for it in names if self.rows[it][0] is not None]
             return {"rows": rows, "has-more": False, "ver": self.version,
                     "now-ms": self.now_ms()}
 
@@ -136,11 +138,11 @@
         until = time.monotonic() + wait
         with self.changed:
             while True:
-                new = [(v, k) for (t, k), (_, v) in self.rows.items()
-                       if t == table and v > since]
+                new = [(v, it) for it, (_, v) in self.rows.items()
+                       if it[0] == table and v > since]
                 left = until - time.monotonic()
                 if new or left <= 0:
-                    rows = [self.row(table, k) for _, k in sorted(new)]
+                    rows = [self.row(it) for _, it in sorted(new)]
                     return {"rows": rows, "ver": self.version, "now-ms": self.now_ms()}
                 self.changed.wait(left)
 
