--- a/review/common-2/bench.py
+++ b/review/common-2/bench.py
@@ -351,12 +351,15 @@
     def __init__(self):
         self.status, self.fields, self.body, self.complete = 0, [], b"", False
         self.seconds, self.closed = 0.0, False
+        self.rest = b""  # received after the answer
+        self.garbage = ""  # first line, if that is no status line
 
     def value(self, name):
         return next((v for n, v in self.fields if n.lower() == name.lower()), "")
 
 
-def read_answer(sock, until, buf=b""):
+def read_answer(sock, until, buf=b"", method="GET"):
+    """Reads the answer to a request with `method`; `buf` came before on the channel."""
     it = Answer()
     began = time.monotonic()
 
@@ -391,28 +394,32 @@
         return first.decode("latin-1")
 
     first = line()
-    if first is not None:
+    if first is not None and not first.startswith("HTTP/1."):
+        it.garbage = first
+    elif first is not None:
         it.status = int(first.split()[1])
         while True:
             text = line()
             if not text:
                 break
             it.fields.append(tuple(part.strip() for part in text.split(":", 1)))
-        if text is not None and it.value("Transfer-Encoding").lower() == "chunked":
+        if text is not None and method == "HEAD":
+            it.complete = True  # RFC 9110, section 9.3.2: never any content
+        elif text is not None and it.value("Transfer-Encoding").lower() == "chunked":
             while True:
                 size = line()
                 if size is None or not fill(int(size, 16) + 2):
                     it.body += buf if size is not None else b""
                     break
                 if int(size, 16) == 0:
-                    it.complete = True
+                    it.complete, buf = True, buf[2:]
                     break
                 it.body, buf = it.body + buf[:int(size, 16)], buf[int(size, 16) + 2:]
         elif text is not None:
             size = int(it.value("Content-Length") or 0)
             it.complete = fill(size)
-            it.body = buf[:size]
-    it.seconds = time.monotonic() - began
+            it.body, buf = buf[:size], buf[size:]
+    it.rest, it.seconds = buf, time.monotonic() - began
     return it
 
 
