--- a/review/common-2/bench.py
+++ b/review/common-2/bench.py
@@ -13,10 +13,12 @@
 import socketserver
 import struct
 import subprocess
+import sys
 import tempfile
 import threading
 import time
 import tomllib
+import traceback
 import urllib.parse
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -491,3 +493,13 @@
         for it in self.gateways:
             it.kill()
         shutil.rmtree(self.work, ignore_errors=True)
+
+
+def run_case(main):
+    """Exits with what `main` returns; with 2 if the case could not run to its end."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # ends the gateways, too
+    try:
+        sys.exit(main())
+    except Exception:
+        traceback.print_exc()
+        sys.exit(2)
