--- a/review/common-2/bench.py
+++ b/review/common-2/bench.py
@@ -224,6 +224,9 @@
                 if wanted and wanted != self.name:
                     send_answer(sock, 421, request, b"", [("Instance-Id", self.name)])
                     continue
+                if request.target == "/health":
+                    send_answer(sock, 200, request, b"", [("Instance-Id", self.name)])
+                    continue
                 if request.target == "/v1/order":
                     self.order(sock, request)
                     continue
