Bodies may be cut into chunks of any size

Cause: chunk lines and trailers of a body were limited to 64 kB more than its content, as a bound on memory. But a chunk line takes no memory once it is parsed, and a chunk of one byte has five bytes of framing.

Change: limits apply to what waits in the read buffer, whole or in pieces alike, and in total only to the part of a chunk line beyond 64 bytes, which only long extensions have. The number of trailers is limited by their bytes unless the settings say otherwise. Heads and bodies have a second more than their timeouts, as idle connections had. The entry had the same fault; it also copied a body while it grew, and now reserves its memory at once.

--- a/source/connection/caller_api.hpp
+++ b/source/connection/caller_api.hpp
@@ -13,6 +13,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <utility>
@@ -90,6 +92,7 @@
                 over_limit = body.size() + n > limit;
                 if (!over_limit)
                 {
+                    reserve_body(body, body.size() + n, limit);
                     body.append(data, n);
                 }
                 return !over_limit;
@@ -107,6 +110,18 @@
         };
     }
 
+    /// Makes room for a large body at once, so that it is not copied while it grows. Its
+    /// memory is not touched before bytes arrive.
+    static void reserve_body(std::string& body, std::uint64_t size, std::uint64_t limit)
+    {
+        constexpr std::uint64_t small_body_bytes = 32'768;
+        constexpr std::uint64_t max_reserved_bytes = 16U << 20U;
+        if (size > small_body_bytes && size > body.capacity())
+        {
+            body.reserve(std::max(size, std::min(limit, max_reserved_bytes)));
+        }
+    }
+
     void serve_completion(const httplib::Request& http, httplib::Response& res,
                           std::string body)
     {
--- a/source/connection/http_connection.cpp
+++ b/source/connection/http_connection.cpp
@@ -1,5 +1,7 @@
 #include "connection/http_connection.hpp"
 
+#include "connection/framing_limits.hpp"
+
 #include <fmt/format.h>
 #include <poll.h>
 #include <sys/socket.h>
@@ -13,8 +15,8 @@
 
 namespace {
 
-// Head, chunk lines and trailers of one request, beyond the bytes of its content. httplib
-// does not bound the lines that it reads.
+// Head and chunk lines of one request, beyond the bytes of its content. httplib does not
+// bound the lines that it reads.
 constexpr std::uint64_t max_line_bytes = 65'536;
 
 thread_local http_connection* current_connection = nullptr;
@@ -52,6 +54,8 @@
 void http_connection::reset_response()
 {
     begun_ = false;
+    has_head_ = false;
+    line_ = 0;
     line_bytes_ = 0;
     content_bytes_ = 0;
 }
@@ -110,8 +114,7 @@
         return -1;
     }
     const auto n = std::min(size, end_ - begin_);
-    (size == 1 ? line_bytes_ : content_bytes_) += n; // httplib reads lines byte by byte
-    if (line_bytes_ > max_line_bytes + content_bytes_)
+    if (!count_read({buffer_.data() + begin_, n}))
     {
         return -1;
     }
@@ -120,6 +123,27 @@
     return static_cast<ssize_t>(n);
 }
 
+bool http_connection::count_read(std::string_view bytes)
+{
+    if (bytes.size() > 1) // httplib reads lines byte by byte
+    {
+        content_bytes_ += bytes.size();
+        return true;
+    }
+    ++line_;
+    if (bytes == "\n")
+    {
+        // Content of one byte counts as a short line, so that a body may be cut in any
+        // way.
+        constexpr std::uint64_t empty_line = 2;
+        constexpr std::uint64_t uncounted = framing_limits::uncounted_line_bytes;
+        line_bytes_ += line_ - (has_head_ ? std::min(line_, uncounted) : 0);
+        has_head_ = has_head_ || line_ <= empty_line;
+        line_ = 0;
+    }
+    return line_bytes_ + line_ <= max_line_bytes + content_bytes_;
+}
+
 ssize_t http_connection::write(const char* ptr, std::size_t size)
 {
     if (begun_)
--- a/source/connection/http_connection.hpp
+++ b/source/connection/http_connection.hpp
@@ -67,6 +67,9 @@
     static http_connection& current();
 
 private:
+    /// Counts bytes that httplib reads; returns false if those that are no content exceed
+    /// the limit.
+    bool count_read(std::string_view bytes);
     bool send_all(std::string_view bytes);
     bool fill();
 
@@ -76,8 +79,10 @@
     std::array<char, 16'384> buffer_;
     std::size_t begin_ = 0;
     std::size_t end_ = 0;
-    std::uint64_t line_bytes_ = 0;    ///< Of this request, read byte by byte.
-    std::uint64_t content_bytes_ = 0; ///< Of this request, read in larger parts.
+    bool has_head_ = false;           ///< Of this request; its body is read.
+    std::uint64_t line_ = 0;          ///< Bytes of the line that is read.
+    std::uint64_t line_bytes_ = 0;    ///< Counted bytes of the lines before it.
+    std::uint64_t content_bytes_ = 0; ///< Of this request.
     bool begun_ = false;
     bool aborted_ = false;
 };
--- a/source/connection/http_reader.cpp
+++ b/source/connection/http_reader.cpp
@@ -6,6 +6,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace pistachiopost {
@@ -15,9 +16,8 @@
 namespace http = boost::beast::http;
 
 constexpr std::uint32_t max_response_head_bytes = 65'536; // four times a caller's limit
-// A request that a caller sends at the end of the idle timeout must not meet the close of
-// the connection, also after a retransmission.
-constexpr milliseconds idle_close_margin{1'000};
+// What a caller sends at the end of a timeout arrives later, also after a retransmission.
+constexpr milliseconds timeout_margin{1'000};
 
 std::string to_string(boost::beast::string_view text)
 {
@@ -39,7 +39,7 @@
 {
     const auto idle_since = steady::now();
     const auto close_at = [&] {
-        return idle_since + current().idle_timeout + idle_close_margin;
+        return idle_since + current().idle_timeout + timeout_margin;
     };
     while (stream.buffered().empty())
     {
@@ -114,7 +114,7 @@
     const auto limits = current();
     request_parser parser(limits, terms.framing);
     auto now = steady::now();
-    auto until = now + limits.header_timeout;
+    auto until = now + limits.header_timeout + timeout_margin;
     if (terms.memory != nullptr && !terms.memory->begin_request(now))
     {
         return request_outcome::no_memory;
@@ -122,7 +122,9 @@
     for (bool head_seen = false;;)
     {
         const auto announced = parser.announced_bytes();
-        const auto arrived = parser.body_bytes() + stream.buffered().size();
+        // Chunk lines in the buffer must not make the largest body cost more than it has.
+        const auto arrived = std::min(parser.body_bytes() + stream.buffered().size(),
+                                      limits.max_body_bytes);
         if (!cover_body(parser, announced > 0 ? announced : arrived, terms, now))
         {
             return request_outcome::no_memory;
@@ -148,7 +150,7 @@
                 stream.send("HTTP/1.1 100 Continue\r\n\r\n",
                             steady::now() + limits.header_timeout);
             }
-            until = steady::now() + limits.idle_timeout;
+            until = steady::now() + limits.idle_timeout + timeout_margin;
         }
         const auto buffered = stream.buffered().size();
         const auto outcome = wait_for_bytes(stream, until);
@@ -167,7 +169,7 @@
         }
         if (parser.has_head())
         {
-            until = now + limits.idle_timeout;
+            until = now + limits.idle_timeout + timeout_margin;
         }
     }
 }
--- a/source/connection/http_reader.hpp
+++ b/source/connection/http_reader.hpp
@@ -56,9 +56,8 @@
 };
 
 /// Reads one request. `stop_fd` becomes readable when the server stops; a request that
-/// has begun is still read to its end. The limits are those in force when it begins;
-/// until then an idle connection is kept for a second longer than the limits in force
-/// allow. Throws connection_error if the connection is reset.
+/// has begun is still read to its end. The limits are those in force when it begins. All
+/// timeouts are extended by a second. Throws connection_error if the connection is reset.
 request_outcome read_request(tcp_stream& stream, const limits_source& current,
                              int stop_fd, const reading_terms& terms,
                              received_request& into);
--- a/source/connection/request_parser.cpp
+++ b/source/connection/request_parser.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <limits>
 #include <utility>
 
 namespace pistachiopost {
@@ -49,6 +50,27 @@
                             "chunked");
 }
 
+constexpr std::string_view line_end = "\r\n";
+
+/// What follows the content of a chunk.
+struct chunk_framing
+{
+    std::string_view line;     ///< Size and extensions of the next chunk.
+    std::string_view trailers; ///< Behind the last line, with the empty line at the end.
+};
+
+chunk_framing split_framing(std::string_view text)
+{
+    text.remove_prefix(text.starts_with(line_end) ? line_end.size() : 0);
+    const auto end = text.find(line_end);
+    if (end == std::string_view::npos)
+    {
+        text.remove_suffix(text.ends_with(line_end.front()) ? 1 : 0);
+        return {text, {}};
+    }
+    return {text.substr(0, end), text.substr(end + line_end.size())};
+}
+
 std::size_t count_fields(const http::request<http::string_body>& message)
 {
     return static_cast<std::size_t>(std::distance(message.begin(), message.end()));
@@ -58,34 +80,21 @@
 
 struct request_parser::state
 {
-    explicit state(std::uint32_t max_extension_bytes)
-        : check_extension([this, max_extension_bytes](std::uint64_t /*size*/,
-                                                      boost::beast::string_view extension,
-                                                      boost::beast::error_code& ec) {
-              if (extension.size() > max_extension_bytes)
-              {
-                  long_extension = true;
-                  ec = http::error::bad_chunk_extension;
-              }
-          })
-    {
-        parser.on_chunk_header(check_extension);
-    }
+    state() { parser.on_chunk_header(on_chunk_line); }
 
+    bool chunk_line_parsed = false;
     std::function<void(std::uint64_t, boost::beast::string_view,
                        boost::beast::error_code&)>
-        check_extension;
-    bool long_extension = false;
+        on_chunk_line = [this](auto /*size*/, auto /*extension*/, auto& /*ec*/) {
+            chunk_line_parsed = true;
+        };
     http::request_parser<http::string_body> parser;
 };
 
 request_parser::request_parser(const caller_limits& limits, const framing_limits& framing)
-    : limits_(limits), framing_(framing),
-      state_(std::make_unique<state>(framing.max_chunk_line_bytes))
+    : limits_(limits), framing_(framing), state_(std::make_unique<state>())
 {
-    auto& parser = state_->parser;
-    parser.header_limit(limits.max_header_bytes);
-    parser.body_limit(limits.max_body_bytes);
+    state_->parser.body_limit(limits.max_body_bytes);
 }
 
 request_parser::~request_parser() = default;
@@ -100,40 +109,44 @@
         {
             return std::nullopt;
         }
+        if (request_line_bytes_ == 0)
+        {
+            const auto end = await_request_line(bytes);
+            if (end || request_line_bytes_ == 0)
+            {
+                return end;
+            }
+        }
         boost::beast::error_code ec;
+        state_->chunk_line_parsed = false;
         const auto n = parser.put(boost::asio::buffer(bytes.data(), bytes.size()), ec);
-        stream.consume(n);
-        consumed_bytes_ += n;
-        if (ec && ec != http::error::need_more)
+        const bool needs_more = ec == http::error::need_more;
+        if (ec && !needs_more)
         {
-            return state_->long_extension ? request_outcome::framing_too_large
-                                          : to_outcome(ec);
+            return to_outcome(ec);
         }
-        if (parser.is_header_done() && !has_head_)
+        if (!has_head_)
         {
-            const auto& message = parser.get();
-            if (!has_sound_framing(message))
-            {
-                return request_outcome::malformed;
-            }
-            has_head_ = true;
-            head_bytes_ = consumed_bytes_;
-            head_fields_ = count_fields(message);
-            head_.method = to_string(message.method_string());
-            head_.target = to_string(message.target());
-            // Trailers arrive later and are no fields of the head (RFC 9110, section
-            // 6.5.1).
-            for (const auto& it : message)
+            head_bytes_ += n;
+        }
+        if (!has_head_ && parser.is_header_done())
+        {
+            if (const auto end = take_head())
             {
-                head_.fields.push_back(
-                    {to_string(it.name_string()), to_string(it.value())});
+                return end;
             }
         }
-        const bool needs_more = ec == http::error::need_more;
-        if (has_head_ && (exceeds_framing() || (needs_more && exceeds_line(stream))))
+        else if (has_head_ && parser.chunked())
         {
-            return request_outcome::framing_too_large;
+            const bool exceeded = state_->chunk_line_parsed
+                                      ? count_framing(bytes.substr(0, n))
+                                      : needs_more && exceeds_framing(bytes.substr(n));
+            if (exceeded)
+            {
+                return request_outcome::framing_too_large;
+            }
         }
+        stream.consume(n);
         if (needs_more || (n == 0 && !parser.is_done()))
         {
             return std::nullopt;
@@ -142,34 +155,66 @@
     return request_outcome::complete;
 }
 
-bool request_parser::exceeds_framing() const
+std::optional<request_outcome> request_parser::await_request_line(std::string_view bytes)
 {
-    const auto& parser = state_->parser;
-    const auto after_head = consumed_bytes_ - head_bytes_;
-    const auto body = body_bytes();
-    const auto framing = after_head - std::min(after_head, body);
-    return framing > framing_.max_framing_bytes + body ||
-           (parser.is_done() &&
-            count_fields(parser.get()) > head_fields_ + framing_.max_trailer_fields);
+    const auto end = bytes.find(line_end);
+    if (std::min(end, bytes.size()) > limits_.max_header_bytes)
+    {
+        return request_outcome::head_too_large;
+    }
+    if (end == std::string_view::npos)
+    {
+        return std::nullopt;
+    }
+    request_line_bytes_ = end + line_end.size();
+    state_->parser.header_limit(static_cast<std::uint32_t>(
+        std::min<std::uint64_t>(limits_.max_header_bytes + request_line_bytes_,
+                                std::numeric_limits<std::uint32_t>::max())));
+    return std::nullopt;
 }
 
-bool request_parser::exceeds_line(const tcp_stream& stream) const
+std::optional<request_outcome> request_parser::take_head()
 {
-    if (!state_->parser.chunked())
+    const auto& message = state_->parser.get();
+    if (!has_sound_framing(message))
     {
-        return false;
+        return request_outcome::malformed;
     }
-    // What is left is a chunk line without its end, or the last one and the trailers.
-    constexpr std::string_view line_end = "\r\n";
-    auto left = stream.buffered();
-    left.remove_prefix(left.starts_with(line_end) ? line_end.size() : 0);
-    const auto line = left.find(line_end);
-    if (line == std::string_view::npos)
+    head_bytes_ -= std::min(head_bytes_, request_line_bytes_);
+    if (head_bytes_ > limits_.max_header_bytes)
     {
-        return left.size() > framing_.max_chunk_line_bytes;
+        return request_outcome::head_too_large;
+    }
+    has_head_ = true;
+    head_fields_ = count_fields(message);
+    head_.method = to_string(message.method_string());
+    head_.target = to_string(message.target());
+    // Trailers arrive later and are no fields of the head (RFC 9110, section 6.5.1).
+    for (const auto& it : message)
+    {
+        head_.fields.push_back({to_string(it.name_string()), to_string(it.value())});
     }
-    const std::uint64_t limit = limits_.max_header_bytes;
-    return left.size() - line > limit - std::min(head_bytes_, limit);
+    return std::nullopt;
+}
+
+bool request_parser::exceeds_framing(std::string_view text) const
+{
+    const auto it = split_framing(text);
+    const auto room = limits_.max_header_bytes - head_bytes_ + line_end.size();
+    return it.line.size() > framing_.max_chunk_line_bytes || it.trailers.size() > room;
+}
+
+bool request_parser::count_framing(std::string_view text)
+{
+    const std::uint64_t line = split_framing(text).line.size();
+    framing_bytes_ +=
+        line - std::min<std::uint64_t>(line, framing_limits::uncounted_line_bytes);
+    const auto& parser = state_->parser;
+    const auto fields = framing_.max_trailer_fields;
+    return exceeds_framing(text) ||
+           framing_bytes_ > framing_.max_framing_bytes + body_bytes() ||
+           (fields && parser.is_done() &&
+            count_fields(parser.get()) > head_fields_ + *fields);
 }
 
 bool request_parser::expects_continue() const
--- a/source/process/entry_process.cpp
+++ b/source/process/entry_process.cpp
@@ -4,6 +4,7 @@
 #include "connection/table_client.hpp"
 #include "connection/vm_list_client.hpp"
 #include "process/entry_service.hpp"
+#include "process/memory_budget.hpp"
 #include "process/platform_watch.hpp"
 
 namespace pistachiopost {
@@ -73,6 +74,7 @@
 
 int run_entry(const entry_settings& settings)
 {
+    bound_allocator();
     switch (settings.choice)
     {
     case load_balancing_policy::two_choices:
--- a/source/process/settings_document.cpp
+++ b/source/process/settings_document.cpp
@@ -164,8 +164,11 @@
     framing_limits it;
     it.max_chunk_line_bytes = static_cast<std::uint32_t>(
         in.integer("max_chunk_line_bytes", {16, 65'536}, it.max_chunk_line_bytes));
-    it.max_trailer_fields = static_cast<std::uint32_t>(
-        in.integer("max_trailer_fields", {0, 1'000}, it.max_trailer_fields));
+    if (in.has("max_trailer_fields"))
+    {
+        it.max_trailer_fields = static_cast<std::uint32_t>(
+            in.integer("max_trailer_fields", {0, 1'000}, std::nullopt));
+    }
     it.max_framing_bytes = static_cast<std::uint64_t>(
         in.integer("max_framing_bytes", {1'024, 1 << 30},
                    static_cast<std::int64_t>(it.max_framing_bytes)));
