One limit on the whole head of a request

The parser of Boost.Beast limits each part of a head that it is given. It was told a limit that grew with the request line, and the head was checked again at its end. Now the parser of requests adds up all parts itself, and Beast has no limit of its own.

A test sends heads without end, cut at and inside fields.

--- a/source/connection/request_parser.cpp
+++ b/source/connection/request_parser.cpp
@@ -94,6 +94,8 @@
 request_parser::request_parser(const caller_limits& limits, const framing_limits& framing)
     : limits_(limits), framing_(framing), state_(std::make_unique<state>())
 {
+    // Beast limits each part of a head by itself; parse() limits the whole head.
+    state_->parser.header_limit(std::numeric_limits<std::uint32_t>::max());
     state_->parser.body_limit(limits.max_body_bytes);
 }
 
@@ -128,12 +130,17 @@
         if (!has_head_)
         {
             head_bytes_ += n;
+            const auto waiting = parser.is_header_done() ? 0 : bytes.size() - n;
+            if (head_bytes_ + waiting > request_line_bytes_ + limits_.max_header_bytes)
+            {
+                return request_outcome::head_too_large;
+            }
         }
         if (!has_head_ && parser.is_header_done())
         {
-            if (const auto end = take_head())
+            if (!take_head())
             {
-                return end;
+                return request_outcome::malformed;
             }
         }
         else if (has_head_ && parser.chunked())
@@ -167,25 +174,18 @@
         return std::nullopt;
     }
     request_line_bytes_ = end + line_end.size();
-    state_->parser.header_limit(static_cast<std::uint32_t>(
-        std::min<std::uint64_t>(limits_.max_header_bytes + request_line_bytes_,
-                                std::numeric_limits<std::uint32_t>::max())));
     return std::nullopt;
 }
 
-std::optional<request_outcome> request_parser::take_head()
+bool request_parser::take_head()
 {
     const auto& message = state_->parser.get();
     if (!has_sound_framing(message))
     {
-        return request_outcome::malformed;
-    }
-    head_bytes_ -= std::min(head_bytes_, request_line_bytes_);
-    if (head_bytes_ > limits_.max_header_bytes)
-    {
-        return request_outcome::head_too_large;
+        return false;
     }
     has_head_ = true;
+    head_bytes_ -= request_line_bytes_;
     head_fields_ = count_fields(message);
     head_.method = to_string(message.method_string());
     head_.target = to_string(message.target());
@@ -194,7 +194,7 @@
     {
         head_.fields.push_back({to_string(it.name_string()), to_string(it.value())});
     }
-    return std::nullopt;
+    return true;
 }
 
 bool request_parser::exceeds_framing(std::string_view text) const
--- a/source/connection/request_parser.hpp
+++ b/source/connection/request_parser.hpp
@@ -43,8 +43,8 @@
     /// Waits until the request line is complete. The limit on heads is one on the line
     /// and another on the fields, so that it does not depend on how the head arrives.
     std::optional<request_outcome> await_request_line(std::string_view bytes);
-    /// Takes the head that was parsed; returns an outcome if it is refused.
-    std::optional<request_outcome> take_head();
+    /// Takes the head that was parsed; returns false if the end of the body is in doubt.
+    bool take_head();
     /// Returns whether the framing between two chunks exceeds the limits. `text` begins
     /// behind the content of a chunk and may be incomplete.
     [[nodiscard]] bool exceeds_framing(std::string_view text) const;
@@ -57,7 +57,7 @@
     std::unique_ptr<state> state_;
     bool has_head_ = false;
     std::uint64_t request_line_bytes_ = 0; ///< 0 until the line is complete.
-    std::uint64_t head_bytes_ = 0;         ///< Without the request line.
+    std::uint64_t head_bytes_ = 0;         ///< Without the request line once complete.
     std::uint64_t framing_bytes_ = 0;      ///< Counted bytes of chunk lines.
     std::size_t head_fields_ = 0;
     message_head head_;
--- a/tests/gateway/gateway_caller_limits_test.cpp
+++ b/tests/gateway/gateway_caller_limits_test.cpp
@@ -251,6 +251,34 @@
                            431, "body in chunks");
 }
 
+/// Guards against a limit that applies to each part of a head by itself.
+Test(gateway_caller_limits, head_without_end_is_refused_wherever_it_is_cut)
+{
+    constexpr std::string_view field = "X-Field: 1234567\r\n";
+    std::string fields;
+    while (fields.size() < 10 * max_head)
+    {
+        fields += field;
+    }
+    for (const auto piece : {std::size_t{1}, field.size(), 100 * field.size(), whole})
+    {
+        limits_fixture gateway;
+        auto caller = gateway.connect();
+        try
+        {
+            limits_fixture::send_in_pieces(caller, request_line, whole);
+            limits_fixture::wait_until_received(caller);
+            limits_fixture::send_in_pieces(caller, fields, piece);
+        }
+        catch (const connection_error&)
+        {
+            // The gateway has closed the connection.
+        }
+        cr_assert_eq(gateway_fixture::read_answer(caller).head.status, 431,
+                     "pieces of %zu", piece);
+    }
+}
+
 Test(gateway_caller_limits, request_line_over_the_limit_on_heads_is_refused)
 {
     limits_fixture gateway;
