Answers whose body follows the head later are forwarded

Callers saw: a call was answered 502, although its backend server had sent a sound answer, if the head and the body of the answer came in two packets.

Cause: the response parser was told that it has no limit on bodies, since the gateway bounds them itself. Boost.Beast 1.74 compares an announced length with the missing limit, which any length exceeds. The error was overwritten when bytes of the body were already there.

Change: the parser gets the largest number as its limit.

Evidence: gateway_call/answer_whose_body_follows_its_head_later_is_forwarded fails before (status 502) and passes after; 170 of 170 tests of the gateway pass.

--- a/source/connection/http_reader.cpp
+++ b/source/connection/http_reader.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace pistachiopost {
@@ -184,8 +185,9 @@
     : parser_(std::make_unique<parser>())
 {
     parser_->it.header_limit(max_response_head_bytes);
+    // Without a limit Beast rejects each announced length (up to 1.74, at least).
     parser_->it.body_limit(
-        max_body_bytes ? boost::optional<std::uint64_t>(*max_body_bytes) : boost::none);
+        max_body_bytes.value_or(std::numeric_limits<std::uint64_t>::max()));
     parser_->it.eager(true);
     parser_->it.skip(method == "HEAD");
 }
--- a/tests/gateway/gateway_call_test.cpp
+++ b/tests/gateway/gateway_call_test.cpp
@@ -166,6 +166,25 @@
     cr_assert_eq(gateway.send_request("/once/x").body, "unframed");
 }
 
+/// The parser took the length of an answer for one over a limit that was not set, unless
+/// bytes of the body had arrived together with the head.
+Test(gateway_call, answer_whose_body_follows_its_head_later_is_forwarded)
+{
+    const scripted_backend server([](auto& stream, const auto& request) {
+        send_text(stream,
+                  fmt::format("HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nResponse-Stamp: s\r\n"
+                              "Content-Length: 2\r\n\r\n",
+                              request_id_of(request)));
+        wait_readable(-1, -1, steady::now() + milliseconds{50});
+        send_text(stream, "ok");
+    });
+    gateway_fixture gateway;
+    gateway.add_backend(server, "i-1", "plain");
+    const auto answer = gateway.send_request("/once/x");
+    cr_assert_eq(answer.head.status, 200);
+    cr_assert_eq(answer.body, "ok");
+}
+
 Test(gateway_call, error_response_is_forwarded_with_its_status)
 {
     const scripted_backend server([](auto& stream, const auto& request) {
