A huge announced length does not end the gateway

Cause: the string body of Boost.Beast reserves the announced length when the body begins. Answers are read without a limit in the parser, since the gateway bounds what it keeps itself, so the allocation failed and nothing caught that.

Change: answers are read into a body that grows as bytes arrive.

--- a/source/connection/http_reader.cpp
+++ b/source/connection/http_reader.cpp
@@ -3,8 +3,8 @@
 #include "connection/request_parser.hpp"
 
 #include <boost/asio/buffer.hpp>
+#include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <algorithm>
 #include <limits>
@@ -25,6 +25,45 @@
     return {text.data(), text.size()};
 }
 
+/// A body that grows as bytes arrive. The one of Beast reserves the announced length, for
+/// which a peer can name any number.
+struct growing_body
+{
+    using value_type = std::string;
+
+    class reader
+    {
+    public:
+        template <bool IsRequest, typename Fields>
+        reader(http::header<IsRequest, Fields>& /*head*/, value_type& body) : body_(body)
+        {
+        }
+
+        void init(const boost::optional<std::uint64_t>& /*length*/,
+                  boost::beast::error_code& ec)
+        {
+            ec = {};
+        }
+
+        template <typename Buffers>
+        std::size_t put(const Buffers& buffers, boost::beast::error_code& ec)
+        {
+            const auto before = body_.size();
+            for (const auto it : boost::beast::buffers_range_ref(buffers))
+            {
+                body_.append(static_cast<const char*>(it.data()), it.size());
+            }
+            ec = {};
+            return body_.size() - before;
+        }
+
+        void finish(boost::beast::error_code& ec) { ec = {}; }
+
+    private:
+        value_type& body_;
+    };
+};
+
 template <typename Message>
 void copy_fields(const Message& from, message_head& into)
 {
@@ -177,7 +216,7 @@
 
 struct response_reader::parser
 {
-    http::response_parser<http::string_body> it;
+    http::response_parser<growing_body> it;
 };
 
 response_reader::response_reader(std::string_view method,
--- a/tests/gateway/gateway_flood_test.cpp
+++ b/tests/gateway/gateway_flood_test.cpp
@@ -2,9 +2,9 @@
 /// gateway closes: in a head, a chunk header, a trailer, a body or an event. Each must
 /// end by a limit on bytes or time, with bounded memory, and must not hold up other
 /// requests.
+#include "fixtures/resident_memory.hpp"
 #include "gateway_fixture.hpp"
 
-#include <fstream>
 #include <thread>
 
 using namespace pistachiopost;
@@ -46,22 +46,6 @@
 const std::string chunk_64k = "10000\r\n" + std::string(65'536, 'x') + "\r\n";
 const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
 
-/// Returns the resident memory of this process.
-std::size_t resident_kb()
-{
-    std::ifstream file("/proc/self/status");
-    for (std::string word; file >> word;)
-    {
-        if (word == "VmRSS:")
-        {
-            std::size_t kb = 0;
-            file >> kb;
-            return kb;
-        }
-    }
-    return 0;
-}
-
 /// Two backend servers, of which the one that is asked first floods.
 void check_repeated_elsewhere(const std::string& begin, const std::string& piece)
 {
