The limit on an announced length holds for calls of services and the store

Cause: the parser reports the length at the end of the head, but goes on if there are more bytes, and overwrites the error.

Change: it stops behind the head.

Evidence: http_call/body_of_an_announced_length_is_given_up_at_a_limit_of_bytes fails before (all of 1 GB taken) and passes after.

--- a/source/connection/http_reader.cpp
+++ b/source/connection/http_reader.cpp
@@ -227,7 +227,6 @@
     // Without a limit Beast rejects each announced length (up to 1.74, at least).
     parser_->it.body_limit(
         max_body_bytes.value_or(std::numeric_limits<std::uint64_t>::max()));
-    parser_->it.eager(true);
     parser_->it.skip(method == "HEAD");
 }
 
@@ -251,6 +250,9 @@
             has_head_ = true;
             head_.status = static_cast<int>(parser_->it.get().result_int());
             copy_fields(parser_->it.get(), head_);
+            // Not before: a parser that goes on behind the head drops the error of an
+            // announced length over the limit.
+            parser_->it.eager(true);
         }
         if (ec == http::error::need_more || n == 0)
         {
--- a/tests/connection/http_call_test.cpp
+++ b/tests/connection/http_call_test.cpp
@@ -107,6 +107,16 @@
     cr_assert_lt(bytes_taken(chunked_head, chunk, patient), bounded);
 }
 
+/// Guards against a limit that is dropped when the body begins together with its head.
+Test(http_call, body_of_an_announced_length_is_given_up_at_a_limit_of_bytes)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n";
+    for (const auto& begin : {head, head + "body"})
+    {
+        cr_assert_lt(bytes_taken(begin, std::string(65'536, 'x'), patient), bounded);
+    }
+}
+
 Test(http_call, body_until_the_close_is_given_up_at_a_limit_of_bytes)
 {
     cr_assert_lt(
