Statuses that are none of a final answer are failures

What callers saw: an answer with a status from 600 to 999 was passed on by the gateway, one from 000 to 199 by an agent of a plain service.

Cause: the response parser takes any three digits for a status and a 1xx for a whole message, and nothing looked at the range.

Change: the reader of answers drops interim responses, which stay within the limit on heads together with the final head, and takes 200 to 599 for a final status. 101 is an error, since nobody asks for it. The entry refuses an end with another status from an agent.

Engines are still read by another library.

--- a/source/connection/http_reader.cpp
+++ b/source/connection/http_reader.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <fmt/format.h>
 
 #include <algorithm>
 #include <limits>
@@ -221,17 +222,23 @@
 
 response_reader::response_reader(std::string_view method,
                                  std::optional<std::uint64_t> max_body_bytes)
-    : parser_(std::make_unique<parser>())
+    : skips_body_(method == "HEAD"),
+      // Without a limit Beast rejects each announced length (up to 1.74, at least).
+      max_body_bytes_(max_body_bytes.value_or(std::numeric_limits<std::uint64_t>::max()))
 {
-    parser_->it.header_limit(max_response_head_bytes);
-    // Without a limit Beast rejects each announced length (up to 1.74, at least).
-    parser_->it.body_limit(
-        max_body_bytes.value_or(std::numeric_limits<std::uint64_t>::max()));
-    parser_->it.skip(method == "HEAD");
+    start();
 }
 
 response_reader::~response_reader() = default;
 
+void response_reader::start()
+{
+    parser_ = std::make_unique<parser>();
+    parser_->it.header_limit(max_response_head_bytes);
+    parser_->it.body_limit(max_body_bytes_);
+    parser_->it.skip(skips_body_);
+}
+
 void response_reader::parse(tcp_stream& stream)
 {
     while (!stream.buffered().empty() && !done())
@@ -245,14 +252,17 @@
         {
             throw protocol_error("response is not HTTP: " + ec.message());
         }
+        if (!has_head_)
+        {
+            head_bytes_ += n;
+            if (head_bytes_ > max_response_head_bytes)
+            {
+                throw protocol_error("response has heads over the limit");
+            }
+        }
         if (!has_head_ && parser_->it.is_header_done())
         {
-            has_head_ = true;
-            head_.status = static_cast<int>(parser_->it.get().result_int());
-            copy_fields(parser_->it.get(), head_);
-            // Not before: a parser that goes on behind the head drops the error of an
-            // announced length over the limit.
-            parser_->it.eager(true);
+            take_head();
         }
         if (ec == http::error::need_more || n == 0)
         {
@@ -267,6 +277,26 @@
     }
 }
 
+void response_reader::take_head()
+{
+    const auto status = static_cast<int>(parser_->it.get().result_int());
+    if (is_interim_status(status))
+    {
+        start();
+        return;
+    }
+    if (!is_final_status(status))
+    {
+        throw protocol_error(fmt::format("response has the invalid status {}", status));
+    }
+    has_head_ = true;
+    head_.status = status;
+    copy_fields(parser_->it.get(), head_);
+    // Not before: a parser that goes on behind the head drops the error of an announced
+    // length over the limit.
+    parser_->it.eager(true);
+}
+
 bool response_reader::end_of_stream()
 {
     if (!has_head_)
--- a/source/connection/http_reader.hpp
+++ b/source/connection/http_reader.hpp
@@ -66,7 +66,8 @@
 request_outcome read_request(tcp_stream& stream, const caller_limits& limits, int stop_fd,
                              received_request& into);
 
-/// Incremental parser of one response.
+/// Incremental parser of one response. Interim responses (RFC 9110, section 15.2) before
+/// it are dropped.
 class response_reader
 {
 public:
@@ -79,7 +80,8 @@
     response_reader(const response_reader&) = delete;
     response_reader& operator=(const response_reader&) = delete;
 
-    /// Consumes and parses the bytes buffered in `stream`. Throws protocol_error.
+    /// Consumes and parses the bytes buffered in `stream`. Throws protocol_error, also if
+    /// the status is none of a final response.
     void parse(tcp_stream& stream);
     /// Signals that the peer closed the connection; returns whether the response is
     /// complete.
@@ -95,8 +97,16 @@
 private:
     struct parser;
 
+    /// Begins with the next response on the connection.
+    void start();
+    /// Takes a head that was parsed, unless it is that of an interim response.
+    void take_head();
+
+    bool skips_body_;
+    std::uint64_t max_body_bytes_;
     std::unique_ptr<parser> parser_;
     message_head head_;
+    std::uint64_t head_bytes_ = 0; ///< Of all heads so far.
     bool has_head_ = false;
 };
 
--- a/source/connection/message_codec.cpp
+++ b/source/connection/message_codec.cpp
@@ -1,5 +1,7 @@
 #include "connection/message_codec.hpp"
 
+#include "connection/message_head.hpp"
+
 #include <fmt/format.h>
 #include <msgpack.hpp>
 
@@ -142,6 +144,10 @@
         answer_end it;
         it.total = in.next<std::uint64_t>();
         it.status = in.next<int>();
+        if (!is_final_status(it.status))
+        {
+            throw codec_error("answer has an invalid status");
+        }
         it.content_type = in.next<std::string>();
         return attempt_event{std::move(it)};
     }
--- a/source/connection/message_head.hpp
+++ b/source/connection/message_head.hpp
@@ -13,6 +13,20 @@
 /// Compares two header field names without regard to case.
 bool same_header_name(std::string_view a, std::string_view b);
 
+/// Returns whether a response with this status precedes the final one. 101 does not: it
+/// ends HTTP on the connection, which is never asked for.
+constexpr bool is_interim_status(int status)
+{
+    constexpr int switching_protocols = 101;
+    return status >= 100 && status < 200 && status != switching_protocols;
+}
+
+/// Returns whether a final response may have this status (RFC 9110, section 15).
+constexpr bool is_final_status(int status)
+{
+    return status >= 200 && status < 600;
+}
+
 /// Head of a request or of a response.
 struct message_head
 {
--- a/tests/connection/codec_test.cpp
+++ b/tests/connection/codec_test.cpp
@@ -95,6 +95,17 @@
     }
 }
 
+/// An entry must not pass on a status that is none of an answer.
+Test(message_codec, end_with_an_invalid_status_throws_codec_error)
+{
+    for (const int status : {-1, 0, 99, 100, 199, 600, 1'000})
+    {
+        message_reader reader;
+        reader.feed(encode(attempt_event{answer_end{6, status, "text/plain"}}));
+        cr_assert_throw(reader.next(), codec_error, "%d", status);
+    }
+}
+
 Test(message_codec, random_bytes_throw_only_codec_error)
 {
     std::mt19937 random(1);
--- a/tests/connection/truncated_answer_test.cpp
+++ b/tests/connection/truncated_answer_test.cpp
@@ -1,10 +1,11 @@
 /// Answers of engines, services and the store that stop at any byte, with a length,
 /// chunked or ended by the close of their connection. One that stops in its head must not
 /// be taken for an answer with an empty body.
-#include "connection/engine_backend.hpp"
 #include "connection/http_client.hpp"
 #include "connection/http_reader.hpp"
 #include "connection/status_server.hpp"
+#include "fixtures/backend_attempt.hpp"
+#include "fixtures/broken_answers.hpp"
 #include "process/task.hpp"
 
 #include <criterion/criterion.h>
@@ -22,15 +23,6 @@
 
 namespace {
 
-enum class framing
-{
-    length,
-    chunked,
-    until_close
-};
-
-constexpr std::array all_framings{framing::length, framing::chunked,
-                                  framing::until_close};
 constexpr std::string_view call_body = "whole body";
 constexpr std::string_view stream_body =
     "data: {\"id\":\"r-1\",\"choices\":[{\"text\":\"a\"}]}\n\ndata: [DONE]\n\n";
@@ -119,22 +111,6 @@
     }};
 };
 
-/// Runs one attempt; returns whether it ended with an answer.
-template <backend_connection Backend>
-bool is_answered(Backend backend, work_kind kind)
-{
-    attempt_order order;
-    order.attempt_id = "r-1";
-    order.kind = kind;
-    order.method = "POST";
-    order.path = "/x";
-    order.remaining = seconds{10};
-    attempt_job job(
-        1, order, std::make_shared<const std::string>("{}"), [](const attempt_event&) {},
-        steady::now());
-    return std::holds_alternative<answer_end>(backend.run(job, [] {}));
-}
-
 /// Asserts that `is_answer` takes no part of an answer with `body` for the whole.
 template <typename Call>
 void assert_no_part_is_an_answer(std::string_view body, std::string_view marker,
