Completions of engines are read within bounds on bytes and time

What happened: an engine that sent header fields, interim responses, a header line or an event without end filled the memory of the agent.

Cause: completions were read with httplib's client, which bounds lines but not their number, and whose timeout begins anew with each byte. An event and the text of a completion had no bound. Calls of services looked at a cancellation only while no bytes were ready.

Change: completions are read with response_reader, on the attempt's task. An event has 1 MB, the text of a completion 8 MB, and the deadline holds while bytes are ready. A status other than 200 decides without a look at the body. Calls of services look at a cancellation every 100 ms in any case.

--- a/source/connection/engine_backend.cpp
+++ b/source/connection/engine_backend.cpp
@@ -2,10 +2,10 @@
 
 #include "connection/engine_client.hpp"
 #include "connection/http_call.hpp"
+#include "connection/http_reader.hpp"
 #include "connection/sse_reader.hpp"
 
 #include <fmt/format.h>
-#include <httplib.h>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -20,6 +20,9 @@
 
 constexpr milliseconds connect_timeout{500};
 constexpr milliseconds control_timeout{500};
+constexpr milliseconds send_timeout{5'000}; // for a request with its body
+constexpr std::size_t max_event_bytes = 1U << 20U;
+constexpr std::size_t max_answer_bytes = 8U << 20U; // text of one completion
 constexpr int status_ok = 200;
 constexpr int status_too_large = 413;
 constexpr int status_unavailable = 503;
@@ -29,17 +32,6 @@
     return {reason, state, std::move(detail), milliseconds{0}};
 }
 
-/// Makes httplib send the body without copying it.
-void set_body_provider(httplib::Request& http, std::string_view body)
-{
-    http.set_header("Content-Length", std::to_string(body.size()));
-    http.content_length_ = body.size();
-    http.content_provider_ = [body](std::size_t offset, std::size_t n,
-                                    httplib::DataSink& sink) {
-        return sink.write(body.data() + offset, n);
-    };
-}
-
 /// Parses the event stream of one attempt and sends its chunks.
 class completion_stream_reader
 {
@@ -62,6 +54,11 @@
                 return false;
             }
         }
+        text_bytes_ += chunk.bytes.size();
+        if (reader_.partial_bytes() > max_event_bytes || text_bytes_ > max_answer_bytes)
+        {
+            return fail("the engine sent an event or a completion over the limit");
+        }
         send_chunk(std::move(chunk));
         return !job_.cancelled();
     }
@@ -128,43 +125,94 @@
     const first_token_callback& on_first_token_;
     sse_reader reader_;
     std::uint64_t next_;
+    std::size_t text_bytes_ = 0;
     bool done_ = false;
     bool has_chunks_ = false;
     std::optional<refusal> fault_;
 };
 
+/// While this exists, a cancellation of the attempt ends waits on the connection.
+class interruptible_scope
+{
+public:
+    interruptible_scope(attempt_job& job, tcp_stream& stream) : job_(job)
+    {
+        job_.set_interrupt([&stream] { stream.shutdown(); });
+    }
+    ~interruptible_scope() { job_.set_interrupt({}); }
+    interruptible_scope(const interruptible_scope&) = delete;
+    interruptible_scope& operator=(const interruptible_scope&) = delete;
+
+private:
+    attempt_job& job_;
+};
+
 } // namespace
 
 struct engine_backend::state
 {
     state(endpoint engine, std::string owner_id, milliseconds timeout)
         : remote(std::move(engine)), owner(std::move(owner_id)), hang_timeout(timeout),
-          client(remote.address, remote.port), control(remote, control_timeout)
+          control(remote, control_timeout)
     {
-        // One connection an attempt: a refusal that the engine sends late must not meet
-        // the next attempt, and it bears no id.
-        client.set_tcp_nodelay(true);
-        client.set_connection_timeout(connect_timeout);
     }
 
-    httplib::Request make_request(const attempt_job& job) const
+    std::string encode_head(const attempt_job& job) const
     {
         const auto& order = job.order();
-        httplib::Request http;
-        http.method = "POST";
-        http.path = order.path;
-        http.headers = {{"Content-Type", "application/json"},
-                        {"Accept", "text/event-stream"},
-                        {"X-Request-Id", order.attempt_id},
-                        {"X-Owner", owner},
-                        {"X-Priority", std::to_string(priority(job))},
-                        {"X-Resume-Offset", std::to_string(order.resume_offset)}};
+        auto head = fmt::format("POST {} HTTP/1.1\r\nHost: {}\r\n"
+                                "Content-Type: application/json\r\n"
+                                "Accept: text/event-stream\r\nX-Request-Id: {}\r\n"
+                                "X-Owner: {}\r\nX-Priority: {}\r\n"
+                                "X-Resume-Offset: {}\r\nContent-Length: {}\r\n",
+                                order.path, to_string(remote), order.attempt_id, owner,
+                                priority(job), order.resume_offset, job.body().size());
         if (!order.members.empty())
         {
-            http.set_header("X-Group", order.members);
+            head += fmt::format("X-Group: {}\r\n", order.members);
+        }
+        return head + "\r\n";
+    }
+
+    /// Sends the request and passes the response to `events` until either ends. Returns
+    /// the status of the response; only the body of one with 200 is read. Throws
+    /// connection_error if the response breaks off or does not come in time.
+    int exchange_messages(attempt_job& job, tcp_stream& stream,
+                          completion_stream_reader& events) const
+    {
+        const interruptible_scope interruptible(job, stream);
+        const auto began = steady::now();
+        const auto silence = read_timeout(job, began);
+        stream.send_until_response(encode_head(job), job.body(),
+                                   std::min(began + send_timeout, job.deadline()));
+        response_reader response("POST");
+        while (!events.done())
+        {
+            const auto until = std::min(steady::now() + silence, job.deadline());
+            const auto woken = wait_readable(stream.fd(), -1, until);
+            // An engine that always has bytes ready does not extend the deadline.
+            if (woken == wake_cause::timeout || steady::now() >= job.deadline())
+            {
+                throw connection_error("no answer in time");
+            }
+            const bool open = stream.receive();
+            response.parse(stream);
+            const auto status = response.head().status;
+            if (response.has_head() &&
+                (status != status_ok || !events.receive(response.take_body())))
+            {
+                return status;
+            }
+            if (response.done() || (!open && response.end_of_stream()))
+            {
+                break;
+            }
+            if (!open)
+            {
+                throw connection_error("the engine closed the connection");
+            }
         }
-        set_body_provider(http, job.body());
-        return http;
+        return response.head().status;
     }
 
     /// Returns the read timeout after which the engine is treated as hung. Long prompts
@@ -222,22 +270,13 @@
                             fmt::format("the engine answered with status {}", status));
     }
 
-    /// Returns the refusal for a stream that was interrupted without a protocol error.
-    refusal refusal_for_broken_stream(const attempt_job& job,
-                                      const completion_stream_reader& stream,
-                                      httplib::Error error, time_point now)
+    /// Returns the refusal for a stream that was interrupted without a faulty event.
+    refusal refusal_for_broken_stream(const attempt_job& job, time_point now)
     {
         if (job.cancelled())
         {
             return make_refusal(refusal_reason::caller_gone, run_state::ran, "cancelled");
         }
-        const bool refused = error == httplib::Error::Connection ||
-                             error == httplib::Error::ConnectionTimeout;
-        if (refused && !stream.has_chunks())
-        {
-            return make_refusal(refusal_reason::backend_failed, run_state::not_run,
-                                "the engine does not accept connections");
-        }
         if (now >= job.deadline())
         {
             return make_refusal(refusal_reason::deadline_passed, run_state::ran,
@@ -292,7 +331,6 @@
     endpoint remote;
     std::string owner;
     milliseconds hang_timeout;
-    httplib::Client client;
     engine_client control;
     std::string boot;
 };
@@ -321,35 +359,43 @@
     {
         it.fetch_boot();
     }
-    it.client.set_read_timeout(it.read_timeout(job, steady::now()));
-    completion_stream_reader stream(job, on_first_token);
-    auto http = it.make_request(job);
-    int status = 0;
-    http.response_handler = [&status](const httplib::Response& head) {
-        status = head.status;
-        return true;
-    };
-    http.content_receiver = [&](const char* data, std::size_t n, std::uint64_t,
-                                std::uint64_t) {
-        return status == status_ok ? stream.receive({data, n}) : !job.cancelled();
-    };
-    job.set_interrupt([&it] { it.client.stop(); });
-    const auto answer = it.client.send(http);
-    job.set_interrupt({});
-    if (stream.done() && !job.cancelled())
+    // One connection an attempt: a refusal that the engine sends late must not meet the
+    // next attempt, and it bears no id.
+    std::optional<tcp_stream> stream;
+    try
+    {
+        stream.emplace(connect_tcp(it.remote, static_cast<int>(connect_timeout.count())));
+    }
+    catch (const connection_error&)
+    {
+        it.boot.clear();
+        return make_refusal(refusal_reason::backend_failed, run_state::not_run,
+                            "the engine does not accept connections");
+    }
+    completion_stream_reader events(job, on_first_token);
+    int status = status_ok;
+    try
+    {
+        status = it.exchange_messages(job, *stream, events);
+    }
+    catch (const connection_error&)
+    {
+        // What arrived before, or the state of the engine, tells the outcome.
+    }
+    if (events.done() && !job.cancelled())
     {
-        return answer_end{stream.total(), status_ok, "text/plain"};
+        return answer_end{events.total(), status_ok, "text/plain"};
     }
-    if (answer && answer->status != status_ok)
+    if (status != status_ok)
     {
-        return it.refusal_for_status(answer->status);
+        return it.refusal_for_status(status);
     }
     it.cancel_stream(job);
-    if (stream.fault())
+    if (events.fault())
     {
-        return *stream.fault();
+        return *events.fault();
     }
-    auto why = it.refusal_for_broken_stream(job, stream, answer.error(), steady::now());
+    auto why = it.refusal_for_broken_stream(job, steady::now());
     it.boot.clear();
     return why;
 }
--- a/source/connection/http_call.cpp
+++ b/source/connection/http_call.cpp
@@ -15,28 +15,32 @@
 // A fraction of the time that an abandoned call may still be waited for.
 constexpr milliseconds abandon_check_interval{100};
 
-/// Waits for bytes of the answer. Throws connection_error at `until` and call_abandoned.
+/// Waits for bytes of the answer. Throws connection_error at `until` and call_abandoned,
+/// also if the peer always has bytes ready. `check_at` is the time of the next look at
+/// `abandon`.
 void wait_for_answer(const tcp_stream& stream, time_point until,
-                     const abandon_check& abandon)
+                     const abandon_check& abandon, time_point& check_at)
 {
     for (;;)
     {
-        const auto check_at =
-            abandon ? std::min(until, steady::now() + abandon_check_interval) : until;
-        const auto woken = wait_readable(stream.fd(), -1, check_at);
+        const auto woken =
+            wait_readable(stream.fd(), -1, abandon ? std::min(until, check_at) : until);
         const auto now = steady::now();
-        // A peer that always has bytes ready does not extend the deadline.
         if (now >= until)
         {
             throw connection_error("no answer in time");
         }
-        if (woken != wake_cause::timeout)
+        if (abandon && now >= check_at)
         {
-            return;
+            check_at = now + abandon_check_interval;
+            if (abandon(now))
+            {
+                throw call_abandoned("given up before its timeout");
+            }
         }
-        if (abandon && abandon(now))
+        if (woken != wake_cause::timeout)
         {
-            throw call_abandoned("given up before its timeout");
+            return;
         }
     }
 }
@@ -63,9 +67,10 @@
     }
     stream.send(text + "\r\n" + call.body, until);
     response_reader response(call.method, max_reply_bytes);
+    auto check_at = steady::now() + abandon_check_interval;
     while (!response.done())
     {
-        wait_for_answer(stream, until, abandon);
+        wait_for_answer(stream, until, abandon, check_at);
         if (!stream.receive() && !response.end_of_stream())
         {
             throw connection_error("the peer closed the connection");
--- a/source/connection/sse_reader.hpp
+++ b/source/connection/sse_reader.hpp
@@ -39,6 +39,9 @@
         }
     }
 
+    /// Returns the size of an event that is not complete.
+    [[nodiscard]] std::size_t partial_bytes() const { return buffer_.size() - position_; }
+
 private:
     std::string buffer_;
     std::size_t position_ = 0;
--- a/source/connection/tcp_stream.cpp
+++ b/source/connection/tcp_stream.cpp
@@ -158,6 +158,11 @@
     ::shutdown(sock_.get(), SHUT_WR);
 }
 
+void tcp_stream::shutdown()
+{
+    ::shutdown(sock_.get(), SHUT_RDWR);
+}
+
 void tcp_stream::limit_kernel_buffers()
 {
     setsockopt(sock_.get(), SOL_SOCKET, SO_RCVBUF, &receive_buffer_bytes,
--- a/source/connection/tcp_stream.hpp
+++ b/source/connection/tcp_stream.hpp
@@ -54,6 +54,8 @@
     /// Closes the sending direction only, so that sent bytes arrive even if the peer is
     /// still sending.
     void shutdown_write();
+    /// Closes both directions, which ends a wait of another task on the connection.
+    void shutdown();
 
     /// Bounds what the kernel holds of this connection: received bytes that were not
     /// read, and bytes to be sent that are not on their way.
