--- a/source/connection/engine_backend.cpp
+++ b/source/connection/engine_backend.cpp
@@ -271,7 +271,8 @@
     }
 
     /// Returns the refusal for a stream that was interrupted without a faulty event.
-    refusal refusal_for_broken_stream(const attempt_job& job, time_point now)
+    refusal refusal_for_broken_stream(const attempt_job& job, std::string_view fault,
+                                      time_point now)
     {
         if (job.cancelled())
         {
@@ -284,11 +285,13 @@
         }
         if (is_same_engine_run())
         {
-            return make_refusal(refusal_reason::backend_failed, run_state::ran,
-                                "the engine broke off or stopped sending");
+            return make_refusal(
+                refusal_reason::backend_failed, run_state::ran,
+                fmt::format("the engine broke off or stopped sending: {}", fault));
         }
-        return make_refusal(refusal_reason::backend_crashed, run_state::ran,
-                            "the engine died while it ran this request");
+        return make_refusal(
+            refusal_reason::backend_crashed, run_state::ran,
+            fmt::format("the engine died while it ran this request: {}", fault));
     }
 
     /// Returns whether the engine responds and has not restarted.
@@ -366,21 +369,23 @@
     {
         stream.emplace(connect_tcp(it.remote, static_cast<int>(connect_timeout.count())));
     }
-    catch (const connection_error&)
+    catch (const connection_error& ex)
     {
         it.boot.clear();
-        return make_refusal(refusal_reason::backend_failed, run_state::not_run,
-                            "the engine does not accept connections");
+        return make_refusal(
+            refusal_reason::backend_failed, run_state::not_run,
+            fmt::format("the engine does not accept connections: {}", ex.what()));
     }
     completion_stream_reader events(job, on_first_token);
     int status = status_ok;
+    std::string fault = "no end of the answer";
     try
     {
         status = it.exchange_messages(job, *stream, events);
     }
-    catch (const connection_error&)
+    catch (const connection_error& ex)
     {
-        // What arrived before, or the state of the engine, tells the outcome.
+        fault = ex.what(); // what arrived before, or the engine's state, decides
     }
     if (events.done() && !job.cancelled())
     {
@@ -395,7 +400,7 @@
     {
         return *events.fault();
     }
-    auto why = it.refusal_for_broken_stream(job, steady::now());
+    auto why = it.refusal_for_broken_stream(job, fault, steady::now());
     it.boot.clear();
     return why;
 }
--- a/source/connection/request_parser.cpp
+++ b/source/connection/request_parser.cpp
@@ -135,15 +135,12 @@
             {
                 return request_outcome::head_too_large;
             }
-        }
-        if (!has_head_ && parser.is_header_done())
-        {
-            if (!take_head())
+            if (parser.is_header_done() && !take_head())
             {
                 return request_outcome::malformed;
             }
         }
-        else if (has_head_ && parser.chunked())
+        else if (parser.chunked())
         {
             const bool exceeded = state_->chunk_line_parsed
                                       ? count_framing(bytes.substr(0, n))
--- a/tests/connection/http_server_test.cpp
+++ b/tests/connection/http_server_test.cpp
@@ -130,8 +130,9 @@
     {
         extensions += chunks(1, 1, ";" + std::string(1'000, 'e'));
     }
-    for (const auto& text : {head(fields), head("X: " + line), chunked + "1;" + line,
-                             chunked + extensions, line})
+    for (const auto& text :
+         {head(fields), head("X: " + line), fmt::format("{}1;{}", chunked, line),
+          chunked + extensions, line})
     {
         cr_assert(it.answer_to(text).find("200 OK") == std::string::npos);
     }
