Ignored answers of the store are logged with era, kind and source

The line "stale answer of the store ignored" had two numbers. It could not tell a store that has returned from an older copy from a lagging relay or from a wrong version known by the gateway.

No decision changes: no code but the log line uses the era.

--- a/source/process/relayed_store.hpp
+++ b/source/process/relayed_store.hpp
@@ -219,6 +219,7 @@
                     store_answered_ = false;
                     cache_.set_may_relay(false);
                     directory_.record_relayed(id_);
+                    batch.relayed = true;
                     return batch;
                 }
                 log_failure(table, "lags behind other gateways");
--- a/source/process/store_watch.hpp
+++ b/source/process/store_watch.hpp
@@ -71,6 +71,7 @@
     constexpr milliseconds long_poll_timeout{25'000};
     retry_backoff backoff;
     std::uint64_t version = 0;
+    std::uint64_t era = 0;
     bool have_snapshot = false;
     bool unavailable = false;
     while (!stop.wait_for(milliseconds{0}))
@@ -95,13 +96,19 @@
             }
             if (batch.version < version)
             {
-                log_event(
-                    log_level::warn, "stale answer of the store ignored",
-                    {{"table", table}, {"version", batch.version}, {"known", version}});
+                log_event(log_level::warn, "stale answer of the store ignored",
+                          {{"table", table},
+                           {"version", batch.version},
+                           {"era", batch.era},
+                           {"known", version},
+                           {"known_era", era},
+                           {"complete", have_snapshot ? "no" : "yes"},
+                           {"source", batch.relayed ? "relay" : "store"}});
                 stop.wait_for(backoff.next());
                 continue;
             }
             version = batch.version;
+            era = batch.era;
             have_snapshot ? follower.on_changes(batch, now)
                           : follower.on_snapshot(batch, now);
             have_snapshot = true;
--- a/source/process/stored_row.hpp
+++ b/source/process/stored_row.hpp
@@ -26,6 +26,9 @@
 {
     std::vector<stored_row> rows;
     std::uint64_t version = 0; ///< The store's latest version at that time.
+    /// History of the store that the versions belong to; 0 if it names none.
+    std::uint64_t era = 0;
+    bool relayed = false; ///< Received from another gateway.
     /// Time since the store recovered from an outage that the reader may have missed.
     std::optional<milliseconds> recovered_ago;
 };
