--- a/tests/soak/checks.cpp
+++ b/tests/soak/checks.cpp
@@ -217,9 +217,10 @@
         const auto from = drain.from + drain_limit;
         for (const auto& one : disturbed_)
         {
-            // Disturbances that delay the update at a gateway excuse late requests.
-            const bool delays_update =
-                one.gateway.has_value() || one.name.starts_with("store");
+            // Disturbances that delay the update at a gateway excuse late requests. One
+            // of the store that begins later does not: each gateway knows the row then.
+            const bool delays_update = one.gateway.has_value() ||
+                                       (one.name.starts_with("store") && one.from < from);
             if (delays_update && overlaps(one, drain.from - stable_window, drain.to))
             {
                 return;
--- a/tests/soak/deployment.cpp
+++ b/tests/soak/deployment.cpp
@@ -232,7 +232,7 @@
                    {"state", leaving ? "draining" : "ready"},
                    {"address", to_string(it.link->local_endpoint())},
                    {"cold-remaining-ms", cold.count()},
-                   {"born", 1}};
+                   {"born", it.start_time_ms}};
     store.write("servers", it.server->id(), row.dump());
 }
 
--- a/tests/soak/deployment.hpp
+++ b/tests/soak/deployment.hpp
@@ -44,6 +44,7 @@
     std::unique_ptr<backend_stub> server;
     std::unique_ptr<proxy> link;
     std::string service;
+    std::int64_t start_time_ms = 1; ///< Of the incarnation in the store's row.
 };
 
 /// All gateways, the store and the backend servers. Ends only the processes it started.
--- a/tests/soak/fault_injector.cpp
+++ b/tests/soak/fault_injector.cpp
@@ -27,6 +27,8 @@
 constexpr milliseconds evacuation_interval{6'000};
 // A configuration must be in force within this time.
 constexpr milliseconds configuration_limit{2'000};
+// Changes that are lost with each return of the store from a copy.
+constexpr int lost_changes = 40;
 
 } // namespace
 
@@ -49,6 +51,10 @@
             change_is_due_ = false;
             next_change_at_ = steady::now() + configuration_limit + seconds{1};
             change_configuration();
+            if (mix_ == fault_mix::store_restores)
+            {
+                drain_backend();
+            }
         }
         for (std::size_t i = 0; i < target_.gateways.size(); ++i)
         {
@@ -91,6 +97,12 @@
         &fault_injector::compact_store,        &fault_injector::disturb_backend,
         &fault_injector::disturb_backend_link, &fault_injector::drain_backend,
         &fault_injector::expire_backend_row,   &fault_injector::change_configuration};
+    static constexpr std::array<action, 10> actions_beside_store_restores{
+        &fault_injector::restore_store,        &fault_injector::restore_store,
+        &fault_injector::restore_store,        &fault_injector::change_configuration,
+        &fault_injector::change_configuration, &fault_injector::drain_backend,
+        &fault_injector::drain_backend,        &fault_injector::expire_backend_row,
+        &fault_injector::kill_gateway,         &fault_injector::pause_gateway};
     const auto number = random_();
     const auto choose = [&](std::span<const action> from) {
         (this->*from[number % from.size()])();
@@ -105,6 +117,8 @@
         return choose(actions_beside_cold_starts);
     case fault_mix::evacuations:
         return choose(actions_beside_evacuations);
+    case fault_mix::store_restores:
+        return choose(actions_beside_store_restores);
     }
 }
 
@@ -261,8 +275,14 @@
     {
         return;
     }
-    begin(fmt::format("{} drains", id), draining_time,
-          [this, i] { target_.put_row(i, false); });
+    begin(fmt::format("{} drains", id), draining_time, [this, i] {
+        if (mix_ == fault_mix::store_restores)
+        {
+            // A server that has left returns as another incarnation only.
+            ++target_.backends[i].start_time_ms;
+        }
+        target_.put_row(i, false);
+    });
     target_.put_row(i, true);
     injected_.back().planned = true;
     injected_.back().backend = id;
@@ -311,6 +331,35 @@
     injected_.back().planned = true;
 }
 
+/// The store is away for a moment and returns without the changes of some seconds, which
+/// their authors write again. A further change follows when it has settled.
+void fault_injector::restore_store()
+{
+    const auto now = steady::now();
+    if (now < next_change_at_)
+    {
+        return;
+    }
+    const milliseconds away{100 + random_() % 900};
+    const milliseconds age{1'000 + random_() % 4'000};
+    const milliseconds rewritten = away + milliseconds{random_() % 1'500};
+    // Longer than the pause after which an ended disturbance is recorded.
+    constexpr milliseconds margin{1'000};
+    next_change_at_ = now + rewritten + settling_time + margin;
+    change_is_due_ = true;
+    begin("store returns from a copy", away, [this, age] {
+        target_.store.restore_copy(age);
+        target_.store.set_mode(store_mode::normal);
+    });
+    begin("store gets lost rows again", rewritten,
+          [this] { target_.store.rewrite_lost(); });
+    for (int n = 0; n < lost_changes; ++n)
+    {
+        target_.store.write("status", "load", std::to_string(random_()));
+    }
+    target_.store.set_mode(store_mode::refusing);
+}
+
 /// A change makes the store answer the calls that wait. A store that leaves some gateways
 /// unanswered counts as disturbed for all of them, so a further change follows when it
 /// has settled.
--- a/tests/soak/fault_injector.hpp
+++ b/tests/soak/fault_injector.hpp
@@ -14,9 +14,10 @@
 enum class fault_mix
 {
     all,
-    lost_answers, ///< The store has no outage, but answers to some gateways are lost.
-    cold_starts,  ///< All backend servers of a service turn cold at a time.
-    evacuations   ///< Zones are evacuated in turn; gateways keep the store in contact.
+    lost_answers,   ///< The store has no outage, but answers to some gateways are lost.
+    cold_starts,    ///< All backend servers of a service turn cold at a time.
+    store_restores, ///< The store returns from copies some seconds old.
+    evacuations     ///< Zones are evacuated in turn; gateways keep the store in contact.
 };
 
 /// Injects faults into a deployment. Not thread-safe.
@@ -67,6 +68,7 @@
     void lose_store_answers();
     void evacuate_zone();
     void compact_store();
+    void restore_store();
     void check_configuration(time_point now);
     [[nodiscard]] bool was_disturbed(std::size_t gateway, time_point from,
                                      time_point to) const;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -24,6 +24,7 @@
     "lose answers of the store behind live connections, without outages of the store");
 DEFINE_bool(evacuations, false,
             "evacuate zones in turn, without outages of the store or its links");
+DEFINE_bool(store_restores, false, "return the store from copies some seconds old");
 DEFINE_bool(cold_starts, false, "turn the backend servers of a service cold");
 DEFINE_uint32(length_ms, 8'000, "time during which disturbances are started");
 
@@ -108,10 +109,11 @@
     }
     caller_group callers(target.caller_endpoints(), FLAGS_seed, FLAGS_callers);
     fault_injector faults(target, FLAGS_seed,
-                          FLAGS_cold_starts    ? fault_mix::cold_starts
-                          : FLAGS_evacuations  ? fault_mix::evacuations
-                          : FLAGS_lost_answers ? fault_mix::lost_answers
-                                               : fault_mix::all);
+                          FLAGS_cold_starts      ? fault_mix::cold_starts
+                          : FLAGS_store_restores ? fault_mix::store_restores
+                          : FLAGS_evacuations    ? fault_mix::evacuations
+                          : FLAGS_lost_answers   ? fault_mix::lost_answers
+                                                 : fault_mix::all);
     faults.run(milliseconds{FLAGS_length_ms});
     const auto calls = callers.finish();
     const auto runs = target.record.take();
--- a/tests/soak/store_stub.cpp
+++ b/tests/soak/store_stub.cpp
@@ -2,6 +2,7 @@
 
 #include "connection/base64.hpp"
 
+#include <algorithm>
 #include <thread>
 
 namespace pistachiopost::soak {
@@ -10,6 +11,10 @@
 
 using nlohmann::json;
 
+// The store takes copies at this interval, and returns from none that is older.
+constexpr milliseconds copy_interval{250};
+constexpr milliseconds max_copy_age{20'000};
+
 /// Returns the value of a query parameter, empty if absent.
 std::string query_value(std::string_view target, std::string_view name)
 {
@@ -67,20 +72,76 @@
 {
     const std::lock_guard lock(mutex_);
     put(name, key, {encode_base64(value), ++version_, false});
+    authored_[name][key] = tables_[name][key];
 }
 
 void store_stub::remove(const std::string& name, const std::string& key)
 {
     const std::lock_guard lock(mutex_);
     put(name, key, {"", ++version_, true});
+    authored_[name][key] = tables_[name][key];
 }
 
 void store_stub::put(const std::string& name, const std::string& key, row it)
 {
+    take_copy();
     tables_[name][key] = std::move(it);
     changed_.notify_all();
 }
 
+/// Copies the state before a change, unless the last copy is recent.
+void store_stub::take_copy()
+{
+    const auto now = steady::now();
+    if (copies_.empty() || now - copies_.back().taken_at >= copy_interval)
+    {
+        copies_.push_back({now, tables_, version_ - 1});
+    }
+    while (!copies_.empty() && now - copies_.front().taken_at > max_copy_age)
+    {
+        copies_.pop_front();
+    }
+}
+
+void store_stub::restore_copy(milliseconds age)
+{
+    const std::lock_guard lock(mutex_);
+    const auto until = steady::now() - age;
+    // Each copy was taken before a change, so the first one after `until` has that state.
+    const auto it = std::find_if(copies_.begin(), copies_.end(),
+                                 [&](const copy& one) { return one.taken_at >= until; });
+    if (it != copies_.end())
+    {
+        tables_ = std::move(it->tables);
+        version_ = it->version;
+        copies_.erase(it, copies_.end());
+    }
+    compacted_version_ = std::min(compacted_version_, version_);
+    ++era_;
+    changed_.notify_all();
+}
+
+void store_stub::rewrite_lost()
+{
+    const std::lock_guard lock(mutex_);
+    for (const auto& [name, rows] : authored_)
+    {
+        for (const auto& [key, wanted] : rows)
+        {
+            const auto& known = tables_[name];
+            const auto it = known.find(key);
+            const bool lost = it == known.end()
+                                  ? !wanted.removed
+                                  : it->second.value != wanted.value ||
+                                        it->second.removed != wanted.removed;
+            if (lost)
+            {
+                put(name, key, {wanted.value, ++version_, wanted.removed});
+            }
+        }
+    }
+}
+
 void store_stub::set_mode(store_mode mode)
 {
     const std::lock_guard lock(mutex_);
@@ -119,18 +180,19 @@
     {
         std::this_thread::sleep_for(seconds{1});
     }
-    int status = 200;
-    const auto body = handle(request, status);
+    const auto it = handle(request);
     if (mode == store_mode::dropping_answers)
     {
         reset_connection(stream);
         return false;
     }
-    send_answer(stream, status, "Content-Type: application/json\r\n", body.dump());
+    const auto fields =
+        "Content-Type: application/json\r\nStore-Era: " + std::to_string(it.era) + "\r\n";
+    send_answer(stream, it.status, fields, it.body.dump());
     return true;
 }
 
-json store_stub::handle(const received_request& request, int& status)
+store_stub::reply store_stub::handle(const received_request& request)
 {
     const std::string_view target = request.head.target;
     const auto name = query_value(target, "table");
@@ -141,17 +203,16 @@
     if (target.starts_with("/v1/rows-feed"))
     {
         const milliseconds timeout{query_number(target, "wait-ms")};
-        return follow(name, query_number(target, "since-rev"), timeout, status);
+        return follow(name, query_number(target, "since-rev"), timeout);
     }
     if (target.starts_with("/v1/rows-tx"))
     {
         return commit(json::parse(request.body));
     }
-    status = 404;
-    return json::object();
+    return {404, 0};
 }
 
-json store_stub::read_table(const std::string& name)
+store_stub::reply store_stub::read_table(const std::string& name)
 {
     const std::lock_guard lock(mutex_);
     auto rows = json::array();
@@ -162,23 +223,22 @@
             rows.push_back(row_json(name, key, it.value, it.version, false));
         }
     }
-    return {{"ver", version_}, {"rows", rows}, {"has-more", false}};
+    return {200, era_, {{"ver", version_}, {"rows", rows}, {"has-more", false}}};
 }
 
-json store_stub::follow(const std::string& name, std::uint64_t since,
-                        milliseconds timeout, int& status)
+store_stub::reply store_stub::follow(const std::string& name, std::uint64_t since,
+                                     milliseconds timeout)
 {
     std::unique_lock lock(mutex_);
     const auto newer = [&](const auto& it) { return it.second.version > since; };
     changed_.wait_for(lock, timeout, [&] {
         const auto& rows = tables_[name];
-        return stopping_ || mode_ != store_mode::normal ||
+        return stopping_ || since > version_ || mode_ != store_mode::normal ||
                std::any_of(rows.begin(), rows.end(), newer);
     });
-    if (since < compacted_version_)
+    if (since < compacted_version_ || since > version_)
     {
-        status = 410;
-        return json::object();
+        return {410, era_};
     }
     std::map<std::uint64_t, json> in_order;
     for (const auto& [key, it] : tables_[name])
@@ -193,10 +253,10 @@
     {
         rows.push_back(std::move(it));
     }
-    return {{"ver", version_}, {"rows", rows}};
+    return {200, era_, {{"ver", version_}, {"rows", rows}}};
 }
 
-json store_stub::commit(const json& body)
+store_stub::reply store_stub::commit(const json& body)
 {
     const std::lock_guard lock(mutex_);
     ++version_;
@@ -204,7 +264,7 @@
     {
         put(it.at("table"), it.at("key"), {it.at("value"), version_, false});
     }
-    return {{"ver", version_}};
+    return {200, era_, {{"ver", version_}}};
 }
 
 } // namespace pistachiopost::soak
--- a/tests/soak/store_stub.hpp
+++ b/tests/soak/store_stub.hpp
@@ -41,6 +41,11 @@
     void set_mode(store_mode mode);
     /// Discards the history, so that followers must reread whole tables.
     void compact_history();
+    /// Returns to the state of `age` ago and begins a new history from there: later
+    /// changes are lost, and their versions are given out again.
+    void restore_copy(milliseconds age);
+    /// Writes what operators and backend servers had written again where it was lost.
+    void rewrite_lost();
 
 private:
     struct row
@@ -50,19 +55,35 @@
         bool removed = false;
     };
     using table = std::map<std::string, row>;
+    using table_set = std::map<std::string, table>;
+    struct copy
+    {
+        time_point taken_at;
+        table_set tables;
+        std::uint64_t version = 0;
+    };
+    struct reply
+    {
+        int status = 200;
+        std::uint64_t era = 0;
+        nlohmann::json body = nlohmann::json::object();
+    };
 
     bool answer(tcp_stream& stream, const received_request& request);
-    nlohmann::json handle(const received_request& request, int& status);
-    nlohmann::json read_table(const std::string& name);
-    nlohmann::json follow(const std::string& name, std::uint64_t since,
-                          milliseconds timeout, int& status);
-    nlohmann::json commit(const nlohmann::json& body);
+    reply handle(const received_request& request);
+    reply read_table(const std::string& name);
+    reply follow(const std::string& name, std::uint64_t since, milliseconds timeout);
+    reply commit(const nlohmann::json& body);
     void put(const std::string& name, const std::string& key, row it);
+    void take_copy();
 
     std::mutex mutex_;
     std::condition_variable changed_;
-    std::map<std::string, table> tables_;
+    table_set tables_;
+    table_set authored_; ///< Last write of operators and backend servers to each row.
+    std::deque<copy> copies_;
     std::uint64_t version_ = 0;
+    std::uint64_t era_ = 1;
     std::uint64_t compacted_version_ = 0; ///< Last version without history.
     store_mode mode_ = store_mode::normal;
     bool stopping_ = false;
