What a gateway knows stands where the store's older copy is behind it

What callers saw: with the change before, a gateway takes over the copy from which the store returns, although that lacks what it has acknowledged since. Requests would go to a server that had said that it leaves (DRAIN) or to one that had been removed, and to a zone that was evacuated; a sound server whose row was lost would get none.

Cause: a complete read was taken for the newest state of each row. A row that was lost is not a row that was removed, and one that is back in a former state is not news.

Leaving counts until the next incarnation, as if the server had said so in an answer. A former incarnation does not replace a later one. The configuration in force stays if it is newer, as before.

--- a/source/process/membership/backend_registry.cpp
+++ b/source/process/membership/backend_registry.cpp
@@ -78,9 +78,12 @@
         it.backoff_until = now;
         it.cold_until = now;
     }
+    // A row that was not written since has its number in a later era, too.
     const bool is_known_row = it.record.start_time_ms == record.start_time_ms &&
-                              it.record.row_version == record.row_version &&
-                              record.row_version.number != 0;
+                              it.record.row_version.number == record.row_version.number &&
+                              record.row_version.number != 0 &&
+                              (it.record.row_version.era == record.row_version.era ||
+                               it.record.cold_remaining == record.cold_remaining);
     if (record.cold_remaining.count() > 0 && !is_known_row)
     {
         extend_cold(it, now + record.cold_remaining);
@@ -88,6 +91,8 @@
     it.record = record;
     it.rank = XXH3_64bits(record.id.data(), record.id.size());
     it.removal_due.reset();
+    it.withheld_until = {};
+    removed_.erase(record.id);
 }
 
 void backend_registry::remove(std::string_view id, time_point now)
@@ -102,6 +107,7 @@
         (source_recovered_at_ && now - *source_recovered_at_ < source_recovery_grace);
     if (!in_grace_period)
     {
+        record_removal(it->second.record, now);
         backends_.erase(it);
     }
     else if (!it->second.removal_due)
@@ -120,6 +126,12 @@
         listed.insert(it.id);
         upsert(it, now);
     }
+    remove_unlisted(listed, now);
+}
+
+void backend_registry::remove_unlisted(const std::set<std::string, std::less<>>& listed,
+                                       time_point now)
+{
     std::vector<std::string> missing;
     for (const auto& [id, known] : backends_)
     {
@@ -164,8 +176,13 @@
     {
         return;
     }
-    std::erase_if(backends_, [now](const auto& it) {
-        return it.second.removal_due && now >= *it.second.removal_due;
+    std::erase_if(backends_, [&](const auto& it) {
+        const bool expired = it.second.removal_due && now >= *it.second.removal_due;
+        if (expired)
+        {
+            record_removal(it.second.record, now);
+        }
+        return expired;
     });
 }
 
@@ -256,6 +273,10 @@
 
 bool backend_registry::evacuate(std::string_view zone)
 {
+    if (const auto it = held_evacuations_.find(zone); it != held_evacuations_.end())
+    {
+        held_evacuations_.erase(it);
+    }
     return evacuated_zones_.emplace(zone).second;
 }
 
@@ -267,6 +288,10 @@
         return false;
     }
     evacuated_zones_.erase(it);
+    if (const auto held = held_evacuations_.find(zone); held != held_evacuations_.end())
+    {
+        held_evacuations_.erase(held);
+    }
     assume_cold(zone, now);
     return true;
 }
@@ -292,7 +317,8 @@
     for (const auto& [id, it] : backends_)
     {
         if (it.record.service != service || it.record.leaving || it.announced_leaving ||
-            it.backoff_until > now || is_evacuated(it.record.zone))
+            it.backoff_until > now || it.withheld_until > now ||
+            is_evacuated(it.record.zone))
         {
             continue;
         }
--- a/source/process/membership/backend_registry.hpp
+++ b/source/process/membership/backend_registry.hpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -59,6 +60,11 @@
     /// Replaces the list; backend servers missing from `records` are removed as by
     /// remove().
     void replace_all(const std::vector<backend_record>& records, time_point now);
+    /// Replaces the list by one from an older copy of its source: what was known stands
+    /// where the copy is behind it. Backend servers that it lacks get time to reappear,
+    /// one that left stays out until its next incarnation, and one that was removed until
+    /// its row is written again or has stayed for a while.
+    void reconcile(const std::vector<backend_record>& records, time_point now);
     /// Records that the list's source became unreachable or reachable again.
     void mark_source_unavailable(time_point now);
     void mark_source_available(time_point now);
@@ -97,6 +103,13 @@
     /// Records a successful response and resets the failure counts.
     void record_success(std::string_view id);
 
+    /// Keeps zones evacuated whose rows an older copy lacks, until these are written
+    /// again or had time for it.
+    void hold_evacuations(std::span<const std::string> zones, time_point now);
+    /// Returns to service the zones whose rows were not written again in time; returns
+    /// these zones.
+    std::vector<std::string> end_held_evacuations(time_point now);
+
     /// Withdraws an availability zone: its backend servers are not eligible until
     /// restore(). Returns whether it was in service.
     bool evacuate(std::string_view zone);
@@ -151,9 +164,24 @@
         bool announced_leaving = false;
         time_point backoff_until;
         time_point cold_until;
+        time_point withheld_until;  ///< Removed before; only an older copy lists it.
         bool reported_cold = false; ///< By take_cold_changes().
     };
 
+    /// A backend server that was removed from the list.
+    struct removed_backend
+    {
+        std::int64_t start_time_ms = 0;
+        store_version row_version;
+        time_point removed_at;
+    };
+
+    void remove_unlisted(const std::set<std::string, std::less<>>& listed,
+                         time_point now);
+    void record_removal(const backend_record& backend, time_point now);
+    /// Returns whether a row of an older copy may be from before the removal of its
+    /// backend server.
+    [[nodiscard]] bool precedes_removal(const backend_record& record) const;
     /// Returns the rate that a backend server tolerates while it is cold, 0 if it is
     /// warm.
     [[nodiscard]] double cold_rate(const tracked_backend& it, time_point now) const;
@@ -162,7 +190,10 @@
     tracked_backend* find_incarnation(const backend_record& backend);
 
     std::map<std::string, tracked_backend, std::less<>> backends_;
+    std::map<std::string, removed_backend, std::less<>> removed_;
     std::set<std::string, std::less<>> evacuated_zones_;
+    /// Evacuated zones without a row, and until when they are kept so.
+    std::map<std::string, time_point, std::less<>> held_evacuations_;
     std::map<std::string, cold_service, std::less<>> cold_services_;
     time_point last_cold_end_; ///< From then on no backend server is cold.
     std::optional<time_point> source_down_since_;
--- a/source/process/platform_followers.hpp
+++ b/source/process/platform_followers.hpp
@@ -12,6 +12,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -44,33 +45,29 @@
     /// Zones without a row return to service: their rows may have been removed unseen.
     void on_snapshot(const row_batch& batch, time_point now)
     {
-        std::set<std::string, std::less<>> listed;
-        for (const auto& it : batch.rows)
-        {
-            const auto zone = it.removed ? std::nullopt : evacuated_zone(it);
-            if (zone)
-            {
-                listed.emplace(*zone);
-            }
-        }
-        std::set<std::string, std::less<>> unlisted;
+        const auto unlisted = apply_listed(batch, now);
         state_.dispatch.update_registry(now, [&](auto& registry) {
-            const auto& known = registry.evacuated_zones();
-            std::set_difference(known.begin(), known.end(), listed.begin(), listed.end(),
-                                std::inserter(unlisted, unlisted.end()));
-            std::erase_if(listed, [&](const auto& it) { return !registry.evacuate(it); });
             for (const auto& it : unlisted)
             {
                 registry.restore(it, now);
             }
         });
-        for (const auto& it : listed)
+        for (const auto& it : unlisted)
         {
-            log_change(it, true, batch.version);
+            log_change(it, false, batch.version);
         }
+    }
+    /// Zones without a row stay evacuated for a while: their rows may be lost.
+    void on_older_copy(const row_batch& batch, time_point now)
+    {
+        const auto unlisted = apply_listed(batch, now);
+        state_.dispatch.update_registry(
+            now, [&](auto& registry) { registry.hold_evacuations(unlisted, now); });
         for (const auto& it : unlisted)
         {
-            log_change(it, false, batch.version);
+            log_event(log_level::warn,
+                      "zone stays evacuated; an older copy lacks its row",
+                      {{"evacuated_zone", it}, {"row_version", batch.version.number}});
         }
     }
 
@@ -96,6 +93,33 @@
     }
 
 private:
+    /// Evacuates the zones that a complete table lists; returns the evacuated ones that
+    /// it does not list.
+    std::vector<std::string> apply_listed(const row_batch& batch, time_point now)
+    {
+        std::set<std::string, std::less<>> listed;
+        for (const auto& it : batch.rows)
+        {
+            const auto zone = it.removed ? std::nullopt : evacuated_zone(it);
+            if (zone)
+            {
+                listed.emplace(*zone);
+            }
+        }
+        std::vector<std::string> unlisted;
+        state_.dispatch.update_registry(now, [&](auto& registry) {
+            const auto& known = registry.evacuated_zones();
+            std::set_difference(known.begin(), known.end(), listed.begin(), listed.end(),
+                                std::back_inserter(unlisted));
+            std::erase_if(listed, [&](const auto& it) { return !registry.evacuate(it); });
+        });
+        for (const auto& it : listed)
+        {
+            log_change(it, true, batch.version);
+        }
+        return unlisted;
+    }
+
     /// Returns the zone that a row is about; nothing if it is about something else.
     std::optional<std::string_view> evacuated_zone(const stored_row& row)
     {
@@ -149,6 +173,12 @@
         evacuations_.on_snapshot(batch, now);
         apply_configuration(batch, now);
     }
+    /// The configuration in force stays if it is newer.
+    void on_older_copy(const row_batch& batch, time_point now)
+    {
+        evacuations_.on_older_copy(batch, now);
+        apply_configuration(batch, now);
+    }
     void on_changes(const row_batch& batch, time_point now)
     {
         evacuations_.on_changes(batch, now);
@@ -206,20 +236,20 @@
 
     void on_snapshot(const row_batch& batch, time_point now)
     {
-        std::vector<backend_record> records;
-        for (const auto& it : batch.rows)
-        {
-            if (auto record = decode(it))
-            {
-                records.push_back(std::move(*record));
-            }
-        }
+        const auto records = decode_all(batch);
         state_.dispatch.update_registry(now,
                                         [&](auto& it) { it.replace_all(records, now); });
         state_.backends_loaded = true;
-        log_event(log_level::info, "list of backend servers read",
-                  {{"count", static_cast<std::uint64_t>(records.size())},
-                   {"row_version", batch.version.number}});
+        log_list("list of backend servers read", records, batch.version);
+    }
+
+    void on_older_copy(const row_batch& batch, time_point now)
+    {
+        const auto records = decode_all(batch);
+        state_.dispatch.update_registry(now,
+                                        [&](auto& it) { it.reconcile(records, now); });
+        log_list("list of backend servers read from an older copy", records,
+                 batch.version);
     }
 
     void on_changes(const row_batch& batch, time_point now)
@@ -250,6 +280,27 @@
     }
 
 private:
+    std::vector<backend_record> decode_all(const row_batch& batch)
+    {
+        std::vector<backend_record> records;
+        for (const auto& it : batch.rows)
+        {
+            if (auto record = decode(it))
+            {
+                records.push_back(std::move(*record));
+            }
+        }
+        return records;
+    }
+
+    static void log_list(std::string_view text, std::span<const backend_record> records,
+                         const store_version& version)
+    {
+        log_event(log_level::info, text,
+                  {{"count", static_cast<std::uint64_t>(records.size())},
+                   {"row_version", version.number}});
+    }
+
     std::optional<backend_record> decode(const stored_row& row)
     {
         std::string fault;
--- a/source/process/relayed_store.hpp
+++ b/source/process/relayed_store.hpp
@@ -280,6 +280,12 @@
         directory_.record_change(id_, cache_.last_change(), cache_.version(), now);
         follower_.on_snapshot(batch, now);
     }
+    void on_older_copy(const row_batch& batch, time_point now)
+    {
+        cache_.replace(batch);
+        directory_.record_change(id_, cache_.last_change(), cache_.version(), now);
+        follower_.on_older_copy(batch, now);
+    }
     void on_changes(const row_batch& batch, time_point now)
     {
         cache_.apply(batch);
--- a/source/process/store_watch.hpp
+++ b/source/process/store_watch.hpp
@@ -25,12 +25,15 @@
         } -> std::same_as<row_batch>;
 };
 
-/// A consumer of the rows of one table.
+/// A consumer of the rows of one table. `on_older_copy` gets a complete table like
+/// `on_snapshot`, of a store that has returned from an older copy: rows written since may
+/// be missing or in a former state until their authors write them again.
 template <typename Follower>
 concept row_follower = requires(Follower& it, const row_batch& batch, time_point now)
 {
     it.on_snapshot(batch, now);
     it.on_changes(batch, now);
+    it.on_older_copy(batch, now);
     it.on_store_unavailable(now);
     it.on_store_available(now);
 };
@@ -126,9 +129,11 @@
                     continue;
                 }
             }
+            const bool is_copy = last && batch.version.era > last->era;
             last = batch.version;
-            have_snapshot ? follower.on_changes(batch, now)
-                          : follower.on_snapshot(batch, now);
+            is_copy         ? follower.on_older_copy(batch, now)
+            : have_snapshot ? follower.on_changes(batch, now)
+                            : follower.on_snapshot(batch, now);
             have_snapshot = true;
             stop.wait_for(batch_delay);
         }
--- a/tests/process/gateway_limits_test.cpp
+++ b/tests/process/gateway_limits_test.cpp
@@ -69,10 +69,16 @@
     {
         versions.push_back(it.version.number);
     }
+    void on_older_copy(const row_batch& it, time_point)
+    {
+        versions.push_back(it.version.number);
+        ++older_copies;
+    }
     void on_store_unavailable(time_point) { ++outages; }
     void on_store_available(time_point) { ++recoveries; }
 
     std::vector<std::uint64_t> versions;
+    int older_copies = 0;
     int outages = 0;
     int recoveries = 0;
 };
@@ -150,6 +156,7 @@
     cr_assert_eq(script.full_reads,
                  (std::vector<bool>{true, false, true, false, true, false}));
     cr_assert_eq(follower.versions, (std::vector<std::uint64_t>{136, 140, 90, 91}));
+    cr_assert_eq(follower.older_copies, 2);
 }
 
 Test(store_watch, answer_of_an_earlier_era_is_ignored)
--- a/tests/process/relayed_store_test.cpp
+++ b/tests/process/relayed_store_test.cpp
@@ -234,6 +234,7 @@
 {
     static void on_snapshot(const row_batch&, time_point) {}
     static void on_changes(const row_batch&, time_point) {}
+    static void on_older_copy(const row_batch&, time_point) {}
     static void on_store_unavailable(time_point) {}
     void on_store_available(time_point since) { recovered_at = since; }
 
