Gateways publish their rows again once the store has lost them

What callers saw: nothing by itself; a gateway whose row is missing is not found by gateways that start later, which send it no load reports until it announces itself.

Cause: the row is written once, at the start of the process. A gateway that started within the seconds which the store loses was never listed again.

Change: fleet_registration compares the era of the store that has the row with the one that the gateway follows. Until then it owns no slots of cold backend servers, as the order of rows decides these. A second reading of the table does not count as a start of the fleet's directory any more. pistachiopost_store_era shows the era that a gateway follows.

Evidence: the soak now asks whether each gateway is listed after the run. The tests of fleet_registration need its interface.

--- a/source/process/gateway_metrics.cpp
+++ b/source/process/gateway_metrics.cpp
@@ -48,33 +48,36 @@
 std::string gateway_metrics::text(const gateway_gauges& gauges) const
 {
     const std::lock_guard lock(mutex_);
-    auto out = fmt::format(
-        "# TYPE pistachiopost_gateway_info gauge\n"
-        "pistachiopost_gateway_info{{vm=\"{}\"}} 1\n"
-        "# TYPE pistachiopost_time_seconds gauge\n"
-        "pistachiopost_time_seconds {:.3f}\n"
-        "# TYPE pistachiopost_configuration_version gauge\n"
-        "pistachiopost_configuration_version {}\n"
-        "# TYPE pistachiopost_waiting_requests gauge\n"
-        "pistachiopost_waiting_requests {}\n"
-        "# TYPE pistachiopost_connections gauge\n"
-        "pistachiopost_connections {}\n"
-        "# TYPE pistachiopost_blocked_suspects gauge\n"
-        "pistachiopost_blocked_suspects {}\n"
-        "# TYPE pistachiopost_evacuated_zones gauge\n"
-        "pistachiopost_evacuated_zones {}\n"
-        "# TYPE pistachiopost_cold_backends gauge\n"
-        "pistachiopost_cold_backends {}\n"
-        "# TYPE pistachiopost_cold_placements_total counter\n"
-        "pistachiopost_cold_placements_total {}\n"
-        "# TYPE pistachiopost_cold_withheld_total counter\n"
-        "pistachiopost_cold_withheld_total {}\n"
-        "# TYPE pistachiopost_memory_bytes gauge\n"
-        "pistachiopost_memory_bytes {}\n"
-        "# TYPE pistachiopost_requests_total counter\n",
-        gauges.vm, gauges.time_s, gauges.version, gauges.waiting, gauges.connections,
-        gauges.blocked_suspects, gauges.evacuated_zones, gauges.cold_backends,
-        gauges.cold_placements, gauges.cold_withheld, gauges.memory_bytes);
+    auto out =
+        fmt::format("# TYPE pistachiopost_gateway_info gauge\n"
+                    "pistachiopost_gateway_info{{vm=\"{}\"}} 1\n"
+                    "# TYPE pistachiopost_time_seconds gauge\n"
+                    "pistachiopost_time_seconds {:.3f}\n"
+                    "# TYPE pistachiopost_configuration_version gauge\n"
+                    "pistachiopost_configuration_version {}\n"
+                    "# TYPE pistachiopost_waiting_requests gauge\n"
+                    "pistachiopost_waiting_requests {}\n"
+                    "# TYPE pistachiopost_connections gauge\n"
+                    "pistachiopost_connections {}\n"
+                    "# TYPE pistachiopost_blocked_suspects gauge\n"
+                    "pistachiopost_blocked_suspects {}\n"
+                    "# TYPE pistachiopost_evacuated_zones gauge\n"
+                    "pistachiopost_evacuated_zones {}\n"
+                    "# TYPE pistachiopost_cold_backends gauge\n"
+                    "pistachiopost_cold_backends {}\n"
+                    "# TYPE pistachiopost_cold_placements_total counter\n"
+                    "pistachiopost_cold_placements_total {}\n"
+                    "# TYPE pistachiopost_cold_withheld_total counter\n"
+                    "pistachiopost_cold_withheld_total {}\n"
+                    "# TYPE pistachiopost_store_era gauge\n"
+                    "pistachiopost_store_era {}\n"
+                    "# TYPE pistachiopost_memory_bytes gauge\n"
+                    "pistachiopost_memory_bytes {}\n"
+                    "# TYPE pistachiopost_requests_total counter\n",
+                    gauges.vm, gauges.time_s, gauges.version, gauges.waiting,
+                    gauges.connections, gauges.blocked_suspects, gauges.evacuated_zones,
+                    gauges.cold_backends, gauges.cold_placements, gauges.cold_withheld,
+                    gauges.store_era, gauges.memory_bytes);
     for (const auto& [name, n] : outcomes_)
     {
         out +=
--- a/source/process/gateway_metrics.hpp
+++ b/source/process/gateway_metrics.hpp
@@ -25,6 +25,7 @@
     std::size_t cold_backends = 0;     ///< Backend servers that are cold.
     std::uint64_t cold_placements = 0; ///< Parts of attempts placed at cold ones.
     std::uint64_t cold_withheld = 0;   ///< Times that one was not offered to a request.
+    std::uint64_t store_era = 0;       ///< Of the rows followed; 0 if unknown.
     std::uint64_t memory_bytes = 0;    ///< Taken from the memory budget.
 };
 
--- a/source/process/gateway_process.hpp
+++ b/source/process/gateway_process.hpp
@@ -2,15 +2,13 @@
 /// The gateway process, which serves callers on an entry VM of the platform.
 #pragma once
 
-#include "connection/codec_error.hpp"
 #include "connection/gateway_connection.hpp"
-#include "connection/gateway_record_codec.hpp"
 #include "connection/peer_link.hpp"
 #include "connection/relay_client.hpp"
 #include "connection/relay_server.hpp"
 #include "connection/status_server.hpp"
 #include "process/cold_log.hpp"
-#include "process/membership/row_order.hpp"
+#include "process/fleet_registration.hpp"
 #include "process/platform_followers.hpp"
 #include "process/relayed_store.hpp"
 #include "process/settings_reloader.hpp"
@@ -24,9 +22,6 @@
 
 namespace pistachiopost {
 
-/// Table in which each gateway publishes its address for peers.
-inline constexpr std::string_view gateways_table = "pistachiopost-gateways";
-
 /// Time for which changes to the list of backend servers are batched: when many start,
 /// changes arrive one by one. A leaving backend server may still get work for two
 /// seconds.
@@ -82,71 +77,6 @@
     });
 }
 
-/// Repeats a call to the store until it succeeds or the process stops.
-template <typename Call>
-void retry_store_call(std::string_view what, stop_flag& stop, const Call& call)
-{
-    retry_backoff backoff;
-    do
-    {
-        try
-        {
-            call();
-            return;
-        }
-        catch (const store_error& it)
-        {
-            log_event(log_level::warn, "call to the store failed; retrying",
-                      {{"call", what}, {"fault", it.what()}});
-        }
-    } while (!stop.wait_for(backoff.next()));
-}
-
-/// Publishes this gateway, then reads which others there are. Of two gateways that start
-/// at the same time at least the second reads the row of the first, and announces itself
-/// to it; so the table need not be watched. A row that is there already keeps its place
-/// in the order of rows, by which the allowance for cold backend servers is divided.
-template <typename Store>
-void join_fleet(Store store, gateway_state& state, stop_flag& stop)
-{
-    const auto& self = state.directory.self();
-    const auto value = encode_gateway_record(self);
-    retry_store_call("publish gateway", stop, [&] {
-        auto published = store.read_table(gateways_table);
-        const auto* own = find_row(published.rows, self.name);
-        if (own == nullptr || own->value != value)
-        {
-            store.write_row(gateways_table, self.name, value);
-            published = store.read_table(gateways_table);
-        }
-        std::vector<gateway_record> gateways;
-        for (const auto& it : published.rows)
-        {
-            try
-            {
-                gateways.push_back(decode_gateway_record(it.key, it.value));
-            }
-            catch (const codec_error& ex)
-            {
-                log_event(log_level::warn, "invalid row of a gateway ignored",
-                          {{"gateway", it.key}, {"fault", ex.what()}});
-            }
-        }
-        const auto now = steady::now();
-        state.directory.add_published(gateways, now);
-        const auto preceding = find_preceding_rows(published.rows, self.name);
-        if (preceding)
-        {
-            state.dispatch.update_cold_allowance(
-                now, [&](cold_allowance& it) { it.set_predecessors(*preceding); });
-        }
-        log_event(log_level::info, "gateways read",
-                  {{"count", static_cast<std::uint64_t>(gateways.size())},
-                   {"preceding",
-                    preceding ? std::to_string(preceding->size()) : "own row missing"}});
-    });
-}
-
 /// Follows a table, directly or through a relay, until `stop`.
 template <typename Store, typename Follower>
 void follow_table(Store store, std::string_view table, watched_table id,
@@ -229,14 +159,20 @@
                      backends_batch_delay);
     });
     task follow_gateways([&] {
-        join_fleet(store(settings.store), state, stop);
+        fleet_registration registration(state, stop);
+        registration.publish(store(settings.store));
         do
         {
+            if (registration.may_be_lost())
+            {
+                registration.publish_again(store(settings.store));
+            }
             state.dispatch.set_cells(directory.has_cells());
             const auto now = steady::now();
             state.budgets.set_gateway_count(directory.size(), now);
             state.budgets.set_live_gateways(directory.live_in_cell(now), now);
             log_cold_changes(state, now);
+            end_held_evacuations(state, now);
         } while (!stop.wait_for(fleet_size_interval));
     });
     task serve_relayed([&] {
@@ -268,7 +204,7 @@
                      state.dispatch.waiting(), state.connections,
                      state.crashes.blocked_count(steady::now()),
                      state.dispatch.evacuated_zone_count(), cold.cold, cold.placements,
-                     cold.withheld, state.memory.used()})};
+                     cold.withheld, state.directory.known_era(), state.memory.used()})};
         });
     });
     task serve_callers([&] { accept_callers<codec>(state, std::move(callers)); });
--- a/source/process/membership/cold_allowance.cpp
+++ b/source/process/membership/cold_allowance.cpp
@@ -104,6 +104,12 @@
     set_bound(bound_);
 }
 
+void cold_allowance::forget_predecessors()
+{
+    predecessors_.reset();
+    set_bound(bound_);
+}
+
 cold_allowance::server_slots& cold_allowance::slots_of(std::string_view backend,
                                                        double per_second, time_point now)
 {
--- a/source/process/membership/cold_allowance.hpp
+++ b/source/process/membership/cold_allowance.hpp
@@ -58,6 +58,8 @@
     /// Sets the names of the gateways whose rows precede the row of this one. Before the
     /// first call nothing is allowed.
     void set_predecessors(std::span<const std::string> names);
+    /// Allows nothing until the next set_predecessors().
+    void forget_predecessors();
 
     /// Returns whether a request may be sent to a cold backend server of a service with
     /// the rate `per_second`.
--- a/source/process/membership/gateway_directory.cpp
+++ b/source/process/membership/gateway_directory.cpp
@@ -50,7 +50,7 @@
                                       time_point now)
 {
     const std::lock_guard lock(mutex_);
-    published_at_ = now;
+    published_at_ = published_at_.value_or(now);
     ++messages_;
     changed_.notify_all();
     for (const auto& it : gateways)
@@ -348,6 +348,12 @@
     }
 }
 
+std::uint64_t gateway_directory::known_era() const
+{
+    const std::lock_guard lock(mutex_);
+    return std::max_element(known_.begin(), known_.end())->era;
+}
+
 bool gateway_directory::is_outdated(watched_table table) const
 {
     const std::lock_guard lock(mutex_);
--- a/source/process/membership/gateway_directory.hpp
+++ b/source/process/membership/gateway_directory.hpp
@@ -112,6 +112,8 @@
     /// version it knows all changes.
     void record_change(watched_table table, const store_version& version,
                        const store_version& known, time_point now);
+    /// Returns the latest era of the store that this gateway follows; 0 if it knows none.
+    [[nodiscard]] std::uint64_t known_era() const;
     /// Returns whether another gateway announced a change of `table` that this one does
     /// not know.
     [[nodiscard]] bool is_outdated(watched_table table) const;
--- a/source/process/platform_followers.hpp
+++ b/source/process/platform_followers.hpp
@@ -34,6 +34,27 @@
     return services;
 }
 
+/// Logs that a zone was evacuated or returned to service.
+inline void log_zone_change(std::string_view zone, bool evacuated,
+                            const store_version& version)
+{
+    log_event(log_level::warn, evacuated ? "zone evacuated" : "zone returned to service",
+              {{"evacuated_zone", zone}, {"row_version", version.number}});
+}
+
+/// Returns zones to service whose rows an older copy lacked and that were not written
+/// again.
+inline void end_held_evacuations(gateway_state& state, time_point now)
+{
+    std::vector<std::string> ended;
+    state.dispatch.update_registry(
+        now, [&](auto& it) { ended = it.end_held_evacuations(now); });
+    for (const auto& it : ended)
+    {
+        log_zone_change(it, false, {});
+    }
+}
+
 /// Follows the operator's table and evacuates availability zones or returns them to
 /// service.
 template <typename Codec>
@@ -54,7 +75,7 @@
         });
         for (const auto& it : unlisted)
         {
-            log_change(it, false, batch.version);
+            log_zone_change(it, false, batch.version);
         }
     }
     /// Zones without a row stay evacuated for a while: their rows may be lost.
@@ -87,7 +108,7 @@
             });
             if (changed)
             {
-                log_change(*zone, !it.removed, it.version);
+                log_zone_change(*zone, !it.removed, it.version);
             }
         }
     }
@@ -115,7 +136,7 @@
         });
         for (const auto& it : listed)
         {
-            log_change(it, true, batch.version);
+            log_zone_change(it, true, batch.version);
         }
         return unlisted;
     }
@@ -145,14 +166,6 @@
         return decoded->zone;
     }
 
-    static void log_change(std::string_view zone, bool evacuated,
-                           const store_version& version)
-    {
-        log_event(log_level::warn,
-                  evacuated ? "zone evacuated" : "zone returned to service",
-                  {{"evacuated_zone", zone}, {"row_version", version.number}});
-    }
-
     gateway_state& state_;
 };
 
--- a/tests/platform/join_fleet_test.cpp
+++ b/tests/platform/join_fleet_test.cpp
@@ -1,4 +1,4 @@
-#include "process/gateway_process.hpp"
+#include "process/fleet_registration.hpp"
 
 #include <criterion/criterion.h>
 
@@ -14,13 +14,13 @@
 /// The gateways' table, with calls that may fail.
 struct table_fake
 {
-    row_batch read_table(std::string_view) { return {rows, {0, version}, {}}; }
+    row_batch read_table(std::string_view) { return {rows, {era, version}, {}}; }
 
     void write_row(std::string_view, std::string_view key, std::string_view value)
     {
         ++writes;
         std::erase_if(rows, [&](const stored_row& it) { return it.key == key; });
-        rows.push_back({std::string(key), std::string(value), {0, ++version}, false});
+        rows.push_back({std::string(key), std::string(value), {era, ++version}, false});
         if (lose_next_answer)
         {
             lose_next_answer = false;
@@ -30,6 +30,7 @@
 
     std::vector<stored_row> rows;
     std::uint64_t version = 0;
+    std::uint64_t era = 0;
     int writes = 0;
     bool lose_next_answer = false;
 };
@@ -102,6 +103,45 @@
     cr_assert_eq(it.table.writes, 2);
 }
 
+// Guards against gateways that no other finds after their rows were lost with the store's
+// return from a copy.
+Test(join_fleet, row_lost_with_the_stores_return_from_a_copy_is_written_again)
+{
+    join_fixture it;
+    it.table.era = 1;
+    const auto copy = it.table.rows;
+    gateway_state state(it.settings);
+    stop_flag stop;
+    fleet_registration registration(state, stop);
+    registration.publish(client_fake{&it.table});
+    cr_assert_not(registration.may_be_lost());
+    it.table.era = 2;
+    it.table.rows = copy;
+    state.directory.record_change(watched_table::configuration, {2, 0}, {2, 1},
+                                  steady::now());
+    cr_assert(registration.may_be_lost());
+    registration.publish_again(client_fake{&it.table});
+    cr_assert_not(registration.may_be_lost());
+    cr_assert_not_null(find_row(it.table.rows, self));
+    cr_assert_eq(it.table.writes, 2);
+    it.table.era = 3;
+    state.directory.record_change(watched_table::backends, {3, 0}, {3, 1}, steady::now());
+    registration.publish_again(client_fake{&it.table});
+    cr_assert_eq(it.table.writes, 2, "a row that the copy has keeps its place");
+}
+
+Test(join_fleet, gateway_that_stops_does_not_publish_itself_again)
+{
+    join_fixture it;
+    gateway_state state(it.settings);
+    stop_flag stop;
+    fleet_registration registration(state, stop);
+    registration.publish(client_fake{&it.table});
+    state.directory.record_change(watched_table::backends, {1, 0}, {1, 1}, steady::now());
+    state.stopping = true;
+    cr_assert_not(registration.may_be_lost());
+}
+
 // Guards against a repeated write, which would change the place after another gateway has
 // read it.
 Test(join_fleet, write_whose_answer_was_lost_is_not_repeated)
--- a/tests/platform/store_restore_test.cpp
+++ b/tests/platform/store_restore_test.cpp
@@ -183,6 +183,18 @@
     cr_assert_not(it.is_evacuated("z"));
 }
 
+Test(store_restore, zone_whose_row_is_not_written_again_returns_to_service)
+{
+    store_restore_fixture it;
+    it.follow(it.configurations,
+              {batch({former_era, 130}, {{"evacuate/z", "{}", {former_era, 120}, false}}),
+               batch({present_era, 90}, {}), batch({present_era, 90}, {})});
+    end_held_evacuations(it.state, steady::now() + seconds{5});
+    cr_assert(it.is_evacuated("z"));
+    end_held_evacuations(it.state, steady::now() + seconds{7});
+    cr_assert_not(it.is_evacuated("z"));
+}
+
 Test(store_restore, configuration_in_force_does_not_go_back)
 {
     store_restore_fixture it;
--- a/tests/process/cold_allowance_test.cpp
+++ b/tests/process/cold_allowance_test.cpp
@@ -130,6 +130,16 @@
     cr_assert_not(it.allowance.may_send("i-1", rate, it.start));
 }
 
+// Guards against two owners of one slot while the order of rows is written anew.
+Test(cold_allowance, nothing_is_allowed_while_the_order_of_rows_is_unknown)
+{
+    allowance_fixture it;
+    it.allowance.forget_predecessors();
+    cr_assert_eq(it.send_all(it.start), 0U);
+    it.allowance.set_predecessors({});
+    cr_assert_gt(it.send_all(it.start), 0U);
+}
+
 // Guards against a gateway that counts rows written after its own, or none if versions
 // are missing: both would give several gateways the same slots.
 Test(find_preceding_rows, rows_before_the_own_one_are_found)
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -73,6 +73,27 @@
     }
 }
 
+/// Other gateways must find each one by its row, also after the store lost it.
+void check_rows(deployment& it, std::vector<std::string>& violations)
+{
+    const auto until = steady::now() + recovery_limit;
+    for (std::size_t i = 0; i < it.gateways.size(); ++i)
+    {
+        const auto name = fmt::format("front-{}", i);
+        const auto is_listed = [&] {
+            return it.store.has_row("pistachiopost-gateways", name);
+        };
+        while (!is_listed() && steady::now() < until)
+        {
+            wait_readable(-1, -1, steady::now() + milliseconds{50});
+        }
+        if (!is_listed())
+        {
+            violations.push_back(name + " is not listed in the store");
+        }
+    }
+}
+
 void check_memory(deployment& it, std::vector<std::string>& violations)
 {
     const auto until = steady::now() + release_limit;
@@ -126,6 +147,7 @@
     violations.insert(violations.end(), faults.violations().begin(),
                       faults.violations().end());
     check_recovery(target, violations);
+    check_rows(target, violations);
     check_memory(target, violations);
 
     const auto served = std::count_if(calls.begin(), calls.end(), [](const auto& it) {
--- a/tests/soak/store_stub.cpp
+++ b/tests/soak/store_stub.cpp
@@ -82,6 +82,13 @@
     authored_[name][key] = tables_[name][key];
 }
 
+bool store_stub::has_row(const std::string& name, const std::string& key)
+{
+    const std::lock_guard lock(mutex_);
+    const auto it = tables_[name].find(key);
+    return it != tables_[name].end() && !it->second.removed;
+}
+
 void store_stub::put(const std::string& name, const std::string& key, row it)
 {
     take_copy();
--- a/tests/soak/store_stub.hpp
+++ b/tests/soak/store_stub.hpp
@@ -38,6 +38,8 @@
     void write(const std::string& table, const std::string& key, std::string_view value);
     /// Removes a row.
     void remove(const std::string& table, const std::string& key);
+    /// Returns whether a table has a row.
+    bool has_row(const std::string& table, const std::string& key);
     void set_mode(store_mode mode);
     /// Discards the history, so that followers must reread whole tables.
     void compact_history();
