Rows of gateways are written again beside the other duties

The attempts to publish a row again ran in the loop that applies the size of the fleet, so that a store that stayed away would have held up the shares of the retry budget and the end of held evacuations. They have a task of their own.

--- a/source/process/gateway_process.hpp
+++ b/source/process/gateway_process.hpp
@@ -161,12 +161,17 @@
     task follow_gateways([&] {
         fleet_registration registration(state, stop);
         registration.publish(store(settings.store));
-        do
-        {
-            if (registration.may_be_lost())
+        task keep_published([&] {
+            while (!stop.wait_for(fleet_size_interval))
             {
-                registration.publish_again(store(settings.store));
+                if (registration.may_be_lost())
+                {
+                    registration.publish_again(store(settings.store));
+                }
             }
+        });
+        do
+        {
             state.dispatch.set_cells(directory.has_cells());
             const auto now = steady::now();
             state.budgets.set_gateway_count(directory.size(), now);
@@ -174,6 +179,7 @@
             log_cold_changes(state, now);
             end_held_evacuations(state, now);
         } while (!stop.wait_for(fleet_size_interval));
+        keep_published.join();
     });
     task serve_relayed([&] {
         serve_status(relayed, end_fd.get(), [&](const received_request& request) {
