--- a/source/process/store_version.hpp
+++ b/source/process/store_version.hpp
@@ -22,8 +22,13 @@
     std::uint64_t era = 0;
     std::uint64_t number = 0; ///< Within the era; 0 is before all changes.
 
+    bool operator==(const store_version&) const = default;
     /// Any version of a later era is newer.
-    auto operator<=>(const store_version&) const = default;
+    constexpr std::strong_ordering operator<=>(const store_version& it) const
+    {
+        const auto by_era = era <=> it.era;
+        return std::is_eq(by_era) ? number <=> it.number : by_era;
+    }
 };
 
 } // namespace pistachiopost
--- a/tests/platform/store_restore_test.cpp
+++ b/tests/platform/store_restore_test.cpp
@@ -26,7 +26,7 @@
     }
     row_batch next()
     {
-        const auto batch = answers->front();
+        auto batch = answers->front();
         answers->erase(answers->begin());
         if (answers->empty())
         {
--- a/tests/soak/fault_injector.cpp
+++ b/tests/soak/fault_injector.cpp
@@ -21,6 +21,8 @@
 constexpr milliseconds settling_time{3'000};
 // Exceeds the 2 s within which a draining backend server must stop getting new work.
 constexpr milliseconds draining_time{3'500};
+// Long enough for the store to return from a copy that lacks the row.
+constexpr milliseconds draining_time_beside_restores{8'000};
 // Evacuations last longer than the 5 s after which they must be in force. Two zones
 // overlap for a part of that.
 constexpr milliseconds evacuation_time{8'000};
@@ -275,7 +277,9 @@
     {
         return;
     }
-    begin(fmt::format("{} drains", id), draining_time, [this, i] {
+    const auto duration =
+        mix_ == fault_mix::store_restores ? draining_time_beside_restores : draining_time;
+    begin(fmt::format("{} drains", id), duration, [this, i] {
         if (mix_ == fault_mix::store_restores)
         {
             // A server that has left returns as another incarnation only.
@@ -342,22 +346,29 @@
     }
     const milliseconds away{100 + random_() % 900};
     const milliseconds age{1'000 + random_() % 4'000};
-    const milliseconds rewritten = away + milliseconds{random_() % 1'500};
+    const milliseconds rewritten = 2 * away + milliseconds{random_() % 1'500};
     // Longer than the pause after which an ended disturbance is recorded.
     constexpr milliseconds margin{1'000};
     next_change_at_ = now + rewritten + settling_time + margin;
     change_is_due_ = true;
+    const bool again = random_() % 3 == 0; // before the system has settled
+    const auto mode = random_() % 2 == 0 ? store_mode::refusing : store_mode::silent;
     begin("store returns from a copy", away, [this, age] {
         target_.store.restore_copy(age);
         target_.store.set_mode(store_mode::normal);
     });
+    if (again)
+    {
+        begin("store returns from a copy again", away + rewritten / 2,
+              [this, age] { target_.store.restore_copy(age); });
+    }
     begin("store gets lost rows again", rewritten,
           [this] { target_.store.rewrite_lost(); });
     for (int n = 0; n < lost_changes; ++n)
     {
         target_.store.write("status", "load", std::to_string(random_()));
     }
-    target_.store.set_mode(store_mode::refusing);
+    target_.store.set_mode(mode);
 }
 
 /// A change makes the store answer the calls that wait. A store that leaves some gateways
