A row lost between its write and the next read is written again

A gateway that publishes itself reads the table after its write. If the store returned from an older copy in between, the read succeeded without the row, and its later era counted as the one that has the row: the gateway was not listed again.

join_fleet now takes a read without the row for a failed call and begins anew. join_fleet/row_lost_before_it_was_read_is_written_again failed before.

--- a/source/process/fleet_registration.hpp
+++ b/source/process/fleet_registration.hpp
@@ -61,6 +61,10 @@
         {
             store.write_row(gateways_table, self.name, value);
             published = store.read_table(gateways_table);
+            if (find_row(published.rows, self.name) == nullptr)
+            {
+                throw store_error("the store has lost the row that it acknowledged");
+            }
         }
         std::vector<gateway_record> gateways;
         for (const auto& it : published.rows)
--- a/tests/platform/join_fleet_test.cpp
+++ b/tests/platform/join_fleet_test.cpp
@@ -19,6 +19,11 @@
     void write_row(std::string_view, std::string_view key, std::string_view value)
     {
         ++writes;
+        if (lose_next_row)
+        {
+            lose_next_row = false;
+            return;
+        }
         std::erase_if(rows, [&](const stored_row& it) { return it.key == key; });
         rows.push_back({std::string(key), std::string(value), {era, ++version}, false});
         if (lose_next_answer)
@@ -33,6 +38,7 @@
     std::uint64_t era = 0;
     int writes = 0;
     bool lose_next_answer = false;
+    bool lose_next_row = false; ///< It is acknowledged all the same.
 };
 
 /// A store client that refers to the table.
@@ -130,6 +136,15 @@
     cr_assert_eq(it.table.writes, 2, "a row that the copy has keeps its place");
 }
 
+// Guards against a store that returns from a copy between the write and the next read.
+Test(join_fleet, row_lost_before_it_was_read_is_written_again)
+{
+    join_fixture it;
+    it.table.lose_next_row = true;
+    cr_assert_eq(it.join(), 1U);
+    cr_assert_eq(it.table.writes, 2);
+}
+
 Test(join_fleet, gateway_that_stops_does_not_publish_itself_again)
 {
     join_fixture it;
