--- a/tests/soak/fault_injector.hpp
+++ b/tests/soak/fault_injector.hpp
@@ -10,6 +10,10 @@
 
 namespace pistachiopost::soak {
 
+/// Effects of a disturbance may last this long after its end: the platform's stable
+/// window.
+inline constexpr milliseconds settling_time{3'000};
+
 /// The kinds of faults that are injected.
 enum class fault_mix
 {
