--- a/review/common-3/fleet.py
+++ b/review/common-3/fleet.py
@@ -30,6 +30,14 @@
     """The case could not be set up."""
 
 
+class Failure(Exception):
+    """A worker has run a request and fails it with this status."""
+
+    def __init__(self, status):
+        super().__init__(status)
+        self.status = status
+
+
 class Record:
     """What was sent, answered and run; written to record.txt."""
 
@@ -218,7 +226,7 @@
 
 class Worker:
     """A worker of a plain service. `run` is called for each request that begins to run;
-    it returns the body of the answer, or raises Crash."""
+    it returns the body of the answer (None if the worker crashes), or raises Failure."""
 
     def __init__(self, address, store, name, service, zone, slots=6, work_s=0.015):
         self.name, self.service, self.zone = name, service, zone
@@ -312,16 +320,19 @@
         if not admitted:
             sock.sendall(encode_response(503, common + [("Not-Run", "1")], b""))
             return True
+        status = 200
         try:
             body = self.run(self, request, sock)
             time.sleep(self.work_s)
+        except Failure as ex:
+            status, body = ex.status, b"failed"
         finally:
             with self.lock:
                 self.running -= 1
         if self.down or body is None:
             return False
         stamp = "%s.%016x" % (self.name, random.getrandbits(64))
-        sock.sendall(encode_response(200, common + [("Response-Stamp", stamp)], body))
+        sock.sendall(encode_response(status, common + [("Response-Stamp", stamp)], body))
         return True
 
 
