--- a/review/common-3/fleet.py
+++ b/review/common-3/fleet.py
@@ -7,6 +7,7 @@
 import json
 import os
 import random
+import resource
 import signal
 import socket
 import socketserver
@@ -480,6 +481,17 @@
         os.rmdir(self.work)
 
 
+def allow_descriptors():
+    """Gives this process and those that it starts the descriptors of a front machine
+    (`max-fds`), where the default of the shell is lower."""
+    wanted = 4200
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft != resource.RLIM_INFINITY and soft < wanted:
+        if hard != resource.RLIM_INFINITY and hard < wanted:
+            raise CannotRun(f"a process may open {hard} descriptors only")
+        resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, hard))
+
+
 def run_case(folder, play):
     """Runs `play(fleet, trouble)`, which returns whether the rule was broken. Exits with
     1 if so, 0 if not and 2 if the case could not run."""
@@ -487,6 +499,7 @@
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     fleet = None
     try:
+        allow_descriptors()
         fleet = Fleet(folder)
         code = 1 if play(fleet, trouble) else 0
     except (CannotRun, OSError) as ex:
