--- a/review/common-3/fleet.py
+++ b/review/common-3/fleet.py
@@ -457,12 +457,13 @@
                     raise CannotRun("a gateway did not become ready")
                 time.sleep(0.05)
 
-    def send(self, gateway, method, path, body=b"", deadline_ms=1500, request_id=None):
+    def send(self, gateway, method, path, body=b"", deadline_ms=1500, request_id=None,
+             key="n2ctnfzs989anu6wsjnb"):
         """Sends one client attempt. Returns its id and answer (None if there is none)."""
         request_id = request_id or "%016x" % random.getrandbits(64)
         headers = [("Host", "ficu95.example"), ("Request-Id", request_id),
                    ("Deadline-Ms", str(deadline_ms)),
-                   ("Api-Key", "n2ctnfzs989anu6wsjnb")]
+                   ("Api-Key", key)]
         try:
             answer = call((gateway.address, 8227), method, path, headers, body,
                           deadline_ms / 1000 + 1)
