--- a/review/common-3/fleet.py
+++ b/review/common-3/fleet.py
@@ -359,10 +359,12 @@
     def start(self):
         env = {it: os.environ[it] for it in ("PATH", "HOME", "LANG") if it in os.environ}
         env["PISTACHIOPOST_BOOT"] = self.settings
-        log = open(os.path.join(self.fleet.work, self.name + ".log"), "ab")
-        self.process = subprocess.Popen(PROGRAM, cwd=ROOT, env=env, stdout=log,
-                                        stderr=log, stdin=subprocess.DEVNULL)
-        log.close()
+        with self.fleet.starting:
+            if self.fleet.closed:
+                return  # nothing may be started behind the end of the case
+            with open(os.path.join(self.fleet.work, self.name + ".log"), "ab") as log:
+                self.process = subprocess.Popen(PROGRAM, cwd=ROOT, env=env, stdout=log,
+                                                stderr=log, stdin=subprocess.DEVNULL)
 
     def kill(self):
         self.process.kill()
@@ -408,6 +410,7 @@
         if not os.path.exists(PROGRAM[0]):
             raise CannotRun("the build of the deploy file is missing")
         self.record = Record(folder)
+        self.starting, self.closed = threading.Lock(), False
         self.work = tempfile.mkdtemp(prefix="pistachiopost-case-")
         self.prefix = self.free_prefix()
         self.store = Store(self.prefix + ".2")
@@ -472,6 +475,8 @@
         return request_id, answer
 
     def close(self):
+        with self.starting:
+            self.closed = True
         for it in self.gateways:
             if it.process is not None and it.process.poll() is None:
                 it.kill()
@@ -493,20 +498,28 @@
         resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, hard))
 
 
+def stop_early(number, _):
+    raise CannotRun(f"stopped by signal {number}")
+
+
 def run_case(folder, play):
     """Runs `play(fleet, trouble)`, which returns whether the rule was broken. Exits with
     1 if so, 0 if not and 2 if the case could not run."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+    longest_s = 115  # a case may run for 120 s
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGALRM):
+        signal.signal(number, stop_early)
+    signal.alarm(longest_s)
     fleet = None
     try:
         allow_descriptors()
         fleet = Fleet(folder)
         code = 1 if play(fleet, trouble) else 0
-    except (CannotRun, OSError) as ex:
-        print("cannot run:", ex)
+    except BaseException as ex:  # pylint: disable=broad-except
+        print("cannot run:", type(ex).__name__, ex)
         code = 2
     finally:
+        signal.alarm(0)
         if fleet is not None:
             keep = os.environ.get("KEEP_LOGS")
             if keep:
